--- /dev/null
+++ b/crates/lab/src/deployment.rs
@@ -0,0 +1,299 @@
+//! The two deployments that oleanderspan serves today, with their real sizes.
+//!
+//! Documents, settings and fleets for loopback are made from one description, so that samples,
+//! the demo, tests and measures cannot drift apart.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use oleanderspan::document::raw;
+use oleanderspan_node::store::Listed;
+use serde_json::{Value, json};
+
+use crate::fleet;
+
+/// A deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name.
+    pub name: &'static str,
+    /// Regions, each with its zones and its number of entry hosts.
+    pub regions: &'static [Region],
+    /// Services.
+    pub services: &'static [Service],
+    /// One way between two regions.
+    pub region_latency: Duration,
+    /// One way between two zones of a region.
+    pub zone_latency: Duration,
+    /// One way between callers and their entry host.
+    pub caller_latency: Duration,
+    /// What two regions share in each direction.
+    pub link_mbit_per_second: u32,
+}
+
+/// A region of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Region {
+    /// Its name.
+    pub name: &'static str,
+    /// Entry hosts in its zones `<name>-a` and `<name>-b`.
+    pub hosts: [u8; 2],
+}
+
+/// A service of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: &'static str,
+    /// Slots of an instance.
+    pub slots: u32,
+    /// Instances by region.
+    pub instances: [u32; 3],
+    /// Whether everything but reads runs at most once.
+    pub books: bool,
+}
+
+/// The set-up of a new connection.
+pub const CONNECTION_COST: Duration = Duration::from_millis(1);
+
+/// Connections that an instance accepts.
+pub const CONNECTIONS: u32 = 330;
+
+/// The zones of every region, as suffixes of their names.
+const ZONES: [&str; 2] = ["a", "b"];
+
+/// Asociația Cuprul Cinstit.
+pub const CUPRUL: Deployment = Deployment {
+    name: "cuprul",
+    regions: &[
+        Region { name: "ro-sud", hosts: [2, 2] },
+        Region { name: "ro-vest", hosts: [1, 1] },
+        Region { name: "ro-est", hosts: [1, 1] },
+    ],
+    services: &[
+        Service { name: "stockview", slots: 4, instances: [6, 4, 4], books: false },
+        Service { name: "slotdesk", slots: 3, instances: [4, 4, 4], books: true },
+        Service { name: "allocare", slots: 3, instances: [4, 4, 4], books: true },
+        Service { name: "assayhub", slots: 4, instances: [4, 4, 4], books: false },
+    ],
+    region_latency: Duration::from_millis(55),
+    zone_latency: Duration::from_micros(1_500),
+    caller_latency: Duration::from_millis(8),
+    link_mbit_per_second: 280,
+};
+
+/// The National Binocular Bureau.
+pub const BUREAU: Deployment = Deployment {
+    name: "bureau",
+    regions: &[
+        Region { name: "port-louis", hosts: [2, 2] },
+        Region { name: "curepipe", hosts: [1, 1] },
+        Region { name: "mahebourg", hosts: [1, 1] },
+    ],
+    services: &[
+        Service { name: "prism-history", slots: 3, instances: [4, 4, 4], books: false },
+        Service { name: "fusion-results", slots: 5, instances: [4, 4, 4], books: false },
+        Service { name: "occlusion-bookings", slots: 3, instances: [4, 4, 4], books: true },
+        Service { name: "lens-orders", slots: 3, instances: [4, 4, 4], books: true },
+    ],
+    region_latency: Duration::from_millis(12),
+    zone_latency: Duration::from_micros(500),
+    caller_latency: Duration::from_millis(8),
+    link_mbit_per_second: 4_000,
+};
+
+/// Ports of one run on loopback, so that several runs can go side by side.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    /// The platform's port; all others follow it.
+    pub base: u16,
+}
+
+impl Ports {
+    /// The platform.
+    pub fn platform(self) -> SocketAddr {
+        self.at(0)
+    }
+
+    /// The caller port of an entry host.
+    pub fn caller(self, host: u16) -> SocketAddr {
+        self.at(100 + host)
+    }
+
+    /// The relay port of an entry host.
+    pub fn relay(self, host: u16) -> SocketAddr {
+        self.at(200 + host)
+    }
+
+    /// The operator port of an entry host.
+    pub fn operator(self, host: u16) -> SocketAddr {
+        self.at(300 + host)
+    }
+
+    /// The peer port of an entry host.
+    pub fn peer(self, host: u16) -> SocketAddr {
+        self.at(400 + host)
+    }
+
+    /// The port of a backend server.
+    pub fn server(self, server: u16) -> SocketAddr {
+        self.at(500 + server)
+    }
+
+    fn at(self, offset: u16) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), self.base + offset)
+    }
+}
+
+/// An entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+impl Deployment {
+    /// The deployment of a name.
+    pub fn find(name: &str) -> Option<&'static Deployment> {
+        [&CUPRUL, &BUREAU].into_iter().find(|deployment| deployment.name == name)
+    }
+
+    /// The entry hosts, numbered from 1 in this order.
+    pub fn hosts(&self) -> Vec<Host> {
+        let zones = self.regions.iter().flat_map(|region| {
+            region.hosts.iter().zip(ZONES).map(move |(count, zone)| (region, zone, *count))
+        });
+        let named = zones.flat_map(|(region, zone, count)| {
+            let zone = format!("{}-{zone}", region.name);
+            (1..=count).map(move |i| Host { name: format!("{zone}{i}"), zone: zone.clone() })
+        });
+        named.collect()
+    }
+
+    /// The document of an environment.
+    pub fn document(&self, environment: &str) -> raw::Document {
+        let regions = self.regions.iter().map(|region| {
+            let zones = ZONES.iter().map(|zone| format!("{}-{zone}", region.name)).collect();
+            (region.name.to_owned(), raw::Region { zones, ceiling_percent: 90 })
+        });
+        let sites = self.regions.iter().flat_map(|region| {
+            ZONES.iter().map(|zone| {
+                let zone = format!("{}-{zone}", region.name);
+                (zone.clone(), raw::Site { zone })
+            })
+        });
+        let services =
+            self.services.iter().map(|service| (service.name.to_owned(), self.service(service)));
+        raw::Document {
+            environment: environment.to_owned(),
+            regions: regions.collect(),
+            links: self.links(),
+            sites: sites.collect(),
+            services: services.collect(),
+            drains: raw::Drains::default(),
+            locate: raw::Locate::default(),
+            blocks: self.blocks(),
+        }
+    }
+
+    fn service(&self, service: &Service) -> raw::Service {
+        let instances = self.regions.iter().zip(service.instances);
+        let read = |method: &str| raw::Pattern { method: method.to_owned(), path: "/".to_owned() };
+        raw::Service {
+            authorities: vec![format!("{}.{}.example", service.name, self.name)],
+            slots_per_instance: service.slots,
+            connections_per_instance: CONNECTIONS,
+            instances: instances.map(|(r, count)| (r.name.to_owned(), count)).collect(),
+            idempotent: vec![read("GET"), read("HEAD")],
+            routes: BTreeMap::new(),
+            shift: raw::Cap { cap_percent: 20, window_s: 60 },
+            failover: raw::Cap { cap_percent: 50, window_s: 10 },
+            limits: raw::Limits::default(),
+        }
+    }
+
+    fn links(&self) -> Vec<raw::Link> {
+        let pairs = self.regions.iter().enumerate().flat_map(|(i, a)| {
+            self.regions[i + 1..].iter().map(move |b| [a.name.to_owned(), b.name.to_owned()])
+        });
+        let link = |between| raw::Link {
+            between,
+            mbit_per_second: self.link_mbit_per_second,
+            budget_percent: 50,
+        };
+        pairs.map(link).collect()
+    }
+
+    /// Blocks of loopback addresses, one for each zone, so that callers of a test can choose
+    /// where they belong by the address that they connect from.
+    fn blocks(&self) -> BTreeMap<String, String> {
+        let zones = self
+            .regions
+            .iter()
+            .flat_map(|region| ZONES.iter().map(|zone| format!("{}-{zone}", region.name)));
+        (1..).zip(zones).map(|(i, zone): (u8, _)| (format!("127.{i}.0.0/16"), zone)).collect()
+    }
+
+    /// The settings of an entry host, numbered from 1.
+    pub fn settings(&self, host: u16, environment: &str, ports: Ports) -> Value {
+        let hosts = self.hosts();
+        let own = &hosts[usize::from(host) - 1];
+        let count = u16::try_from(hosts.len()).unwrap_or(u16::MAX);
+        let others = (1..=count).filter(|other| *other != host);
+        json!({
+            "environment": environment,
+            "host": { "name": own.name, "zone": own.zone },
+            "entry": {
+                "caller_address": ports.caller(host),
+                "relay_address": ports.relay(host),
+                "threads": 2,
+            },
+            "control": {
+                "operator_address": ports.operator(host),
+                "peer_address": ports.peer(host),
+                "peers": others.map(|other| ports.peer(other)).collect::<Vec<_>>(),
+            },
+            "platform": { "address": ports.platform() },
+            "log": { "level": "info" },
+        })
+    }
+
+    /// The backend servers as the platform lists them.
+    pub fn listed(&self, ports: Ports) -> Vec<Listed> {
+        let placed = self.services.iter().flat_map(|service| {
+            self.regions
+                .iter()
+                .zip(service.instances)
+                .flat_map(move |(region, count)| (0..count).map(move |i| (service, region, i)))
+        });
+        let listed = placed.enumerate().map(|(number, (service, region, i))| Listed {
+            name: format!("{}-{}-{}", service.name, region.name, i + 1),
+            incarnation: 1,
+            service: service.name.to_owned(),
+            zone: format!("{}-{}", region.name, ZONES[i as usize % ZONES.len()]),
+            address: ports.server(u16::try_from(number).unwrap_or(u16::MAX)),
+            leaving: false,
+        });
+        listed.collect()
+    }
+
+    /// The backend servers as the stand-in runs them.
+    pub fn fleet(&self, ports: Ports, run: Duration) -> fleet::Fleet {
+        let slots = |name: &str| {
+            let service = self.services.iter().find(|service| service.name == name);
+            service.map_or(1, |service| service.slots)
+        };
+        let instance = |server: Listed| fleet::Instance {
+            slots: slots(&server.service),
+            name: server.name,
+            address: server.address,
+            run_ms: u64::try_from(run.as_millis()).unwrap_or(u64::MAX),
+        };
+        fleet::Fleet { servers: self.listed(ports).into_iter().map(instance).collect() }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! Small stand-ins for what surrounds oleanderspan, a load tool and measures.
+//!
+//! For tests and benchmarks only; nothing here runs in production.
+
+pub mod deployment;
+pub mod fleet;
+pub mod platform;
+pub mod sample;
--- /dev/null
+++ b/crates/lab/src/platform.rs
@@ -0,0 +1,253 @@
+//! A stand-in for the platform's service: a transactional table, objects, and a lagging list of
+//! backend servers, with faults that can be switched on and off.
+
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use oleanderspan_node::{
+    codec,
+    http::{Body, server::Handler, server::serve},
+    store::{Conflict, Expect, Keys, List, Listed, Row, Rows, Transaction},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// How the stand-in misbehaves.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Refuse every call.
+    pub away: bool,
+    /// Delay every answer.
+    pub delay_ms: u64,
+    /// Lose the answers of this share of writes after they took effect, in percent.
+    pub lost_answers_percent: u8,
+    /// Serve the list of servers as it was this long ago.
+    pub list_lag_ms: u64,
+}
+
+/// How many calls the stand-in has answered.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Transactions.
+    pub transactions: u64,
+    /// Reads of rows and scans.
+    pub reads: u64,
+    /// Objects stored or read.
+    pub objects: u64,
+    /// Reads of the list.
+    pub lists: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: BTreeMap<String, Row>,
+    objects: BTreeMap<String, Bytes>,
+    /// The list over time, so that it can be served late.
+    lists: Vec<(Option<Instant>, List)>,
+    faults: Faults,
+    counts: Counts,
+}
+
+/// The stand-in; cloning it is cheap.
+#[derive(Clone, Debug, Default)]
+pub struct Platform(Arc<Mutex<Inner>>);
+
+/// Serves the stand-in until the process ends; it lists the servers in `file` at first.
+pub async fn run(address: SocketAddr, file: Option<&Path>) -> io::Result<()> {
+    let platform = Platform::default();
+    if let Some(file) = file {
+        let servers: Vec<Listed> = codec::from_json(&fs::read(file)?).map_err(io::Error::other)?;
+        servers.into_iter().for_each(|server| platform.register(server));
+    }
+    let listener = TcpListener::bind(address).await?;
+    serve(listener, platform, CancellationToken::new()).await;
+    Ok(())
+}
+
+impl Platform {
+    /// Sets how the stand-in misbehaves from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Replaces one server in the list, or adds it.
+    pub fn register(&self, server: Listed) {
+        let mut inner = self.lock();
+        let mut list = inner.lists.last().map(|(_, list)| list.clone()).unwrap_or_default();
+        list.servers.retain(|known| known.name != server.name);
+        list.servers.push(server);
+        list.servers.sort_by(|a, b| a.name.cmp(&b.name));
+        inner.lists.push((Some(Instant::now()), list));
+    }
+
+    /// How many calls were answered.
+    pub fn counts(&self) -> Counts {
+        self.lock().counts.clone()
+    }
+
+    /// All rows, for checks in tests.
+    pub fn rows(&self) -> Vec<Row> {
+        self.lock().rows.values().cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn transact(&self, transaction: &Transaction) -> Result<(), Conflict> {
+        let mut inner = self.lock();
+        inner.counts.transactions += 1;
+        let holds = |rows: &BTreeMap<String, Row>, key: &str, expect| match expect {
+            Expect::Absent => !rows.contains_key(key),
+            Expect::Version(version) => rows.get(key).is_some_and(|row| row.version == version),
+        };
+        let conflicts = transaction.writes.iter();
+        let conflicts = conflicts.filter(|write| !holds(&inner.rows, &write.key, write.expect));
+        let keys: Vec<String> = conflicts.map(|write| write.key.clone()).collect();
+        if !keys.is_empty() {
+            return Err(Conflict { keys });
+        }
+        for write in &transaction.writes {
+            let version = inner.rows.get(&write.key).map_or(0, |row| row.version) + 1;
+            let row = Row { key: write.key.clone(), version, value: write.value.clone() };
+            inner.rows.insert(write.key.clone(), row);
+        }
+        Ok(())
+    }
+
+    fn read(&self, keys: &Keys) -> Rows {
+        let mut inner = self.lock();
+        inner.counts.reads += 1;
+        Rows { rows: keys.keys.iter().filter_map(|key| inner.rows.get(key).cloned()).collect() }
+    }
+
+    fn scan(&self, prefix: &str) -> Rows {
+        let mut inner = self.lock();
+        inner.counts.reads += 1;
+        let found = inner.rows.range(prefix.to_owned()..);
+        let found = found.take_while(|(key, _)| key.starts_with(prefix));
+        Rows { rows: found.map(|(_, row)| row.clone()).collect() }
+    }
+
+    fn list(&self) -> List {
+        let mut inner = self.lock();
+        inner.counts.lists += 1;
+        let lag = Duration::from_millis(inner.faults.list_lag_ms);
+        let seen = |at: &Option<Instant>| at.is_none_or(|at| at.elapsed() >= lag);
+        let visible = inner.lists.iter().rev().find(|(at, _)| seen(at));
+        visible.map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+
+    fn call(&self, method: &Method, path: &str, body: &Bytes) -> Response<Body> {
+        match (method, path) {
+            (&Method::POST, "/v1/table/transact") => match decode(body) {
+                Some(transaction) => match self.transact(&transaction) {
+                    Ok(()) => json(StatusCode::OK, &()),
+                    Err(conflict) => json(StatusCode::CONFLICT, &conflict),
+                },
+                None => status(StatusCode::BAD_REQUEST),
+            },
+            (&Method::POST, "/v1/table/read") => match decode(body) {
+                Some(keys) => json(StatusCode::OK, &self.read(&keys)),
+                None => status(StatusCode::BAD_REQUEST),
+            },
+            (&Method::GET, "/v1/servers") => json(StatusCode::OK, &self.list()),
+            _ => self.call_by_prefix(method, path, body),
+        }
+    }
+
+    fn call_by_prefix(&self, method: &Method, path: &str, body: &Bytes) -> Response<Body> {
+        if let Some(prefix) = path.strip_prefix("/v1/table/scan/") {
+            return json(StatusCode::OK, &self.scan(prefix));
+        }
+        let Some(name) = path.strip_prefix("/v1/objects/") else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let mut inner = self.lock();
+        inner.counts.objects += 1;
+        if *method == Method::PUT {
+            inner.objects.insert(name.to_owned(), body.clone());
+            return status(StatusCode::NO_CONTENT);
+        }
+        match inner.objects.get(name) {
+            Some(bytes) => Response::new(Body::from(bytes.clone())),
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Calls of tests and scripts, which no fault touches.
+    fn call_lab(&self, path: &str, body: &Bytes) -> Option<Response<Body>> {
+        let answer = match path {
+            "/lab/faults" => match decode(body) {
+                Some(faults) => {
+                    self.set_faults(faults);
+                    status(StatusCode::NO_CONTENT)
+                }
+                None => status(StatusCode::BAD_REQUEST),
+            },
+            "/lab/servers" => match decode(body) {
+                Some(server) => {
+                    self.register(server);
+                    status(StatusCode::NO_CONTENT)
+                }
+                None => status(StatusCode::BAD_REQUEST),
+            },
+            "/lab/counts" => json(StatusCode::OK, &self.counts()),
+            _ => return None,
+        };
+        Some(answer)
+    }
+}
+
+impl Handler for Platform {
+    type Guard = ();
+
+    async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else { return status(StatusCode::BAD_REQUEST) };
+        let body = body.to_bytes();
+        if let Some(answer) = self.call_lab(head.uri.path(), &body) {
+            return answer;
+        }
+        let faults = self.lock().faults.clone();
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.away {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let answer = self.call(&head.method, head.uri.path(), &body);
+        let is_write = head.uri.path() == "/v1/table/transact";
+        if is_write && rand::random_range(0..100) < faults.lost_answers_percent {
+            std::future::pending::<()>().await;
+        }
+        answer
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    codec::from_json(body).ok()
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = code;
+    response
+}
+
+fn json<T: Serialize>(code: StatusCode, value: &T) -> Response<Body> {
+    let body = codec::to_json(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(Bytes::from(body)));
+    *response.status_mut() = code;
+    response
+}
--- /dev/null
+++ b/crates/lab/src/sample.rs
@@ -0,0 +1,33 @@
+//! Writes the documents, settings and fleet of a deployment for loopback.
+
+use std::{fs, io, path::Path, time::Duration};
+
+use serde::Serialize;
+
+use crate::deployment::{Deployment, Ports};
+
+/// Writes the files below `folder`; `docs/operators/install.md` describes them.
+pub fn write(
+    deployment: &Deployment,
+    ports: Ports,
+    run: Duration,
+    folder: &Path,
+) -> io::Result<()> {
+    fs::create_dir_all(folder.join("settings"))?;
+    for environment in ["trial", "production"] {
+        let file = folder.join(format!("{environment}.json"));
+        write_json(&file, &deployment.document(environment))?;
+    }
+    for (number, host) in (1u16..).zip(deployment.hosts()) {
+        let file = folder.join("settings").join(format!("{}.json", host.name));
+        write_json(&file, &deployment.settings(number, "production", ports))?;
+    }
+    write_json(&folder.join("fleet.json"), &deployment.fleet(ports, run))?;
+    write_json(&folder.join("servers.json"), &deployment.listed(ports))
+}
+
+fn write_json<T: Serialize>(file: &Path, value: &T) -> io::Result<()> {
+    let mut text = serde_json::to_string_pretty(value)?;
+    text.push('\n');
+    fs::write(file, text)
+}
--- /dev/null
+++ b/crates/lab/tests/common/mod.rs
@@ -0,0 +1,303 @@
+//! Runs a deployment as separate processes on loopback, for tests that need real ones.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses its own part")]
+
+use std::{
+    env, fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::BodyExt;
+use oleanderspan_lab::{
+    deployment::{Deployment, Ports},
+    fleet::Ledger,
+    platform::Faults,
+    sample,
+};
+use oleanderspan_node::{
+    control::operator::Status,
+    http::{
+        Body,
+        client::{Client, Error, Protocol},
+    },
+};
+
+/// Longest time for a deployment to come up, or for a condition to hold.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A deployment that runs until it is dropped.
+pub struct Bench {
+    pub deployment: &'static Deployment,
+    pub ports: Ports,
+    pub folder: PathBuf,
+    pub client: Client,
+    platform: Child,
+    fleet: Child,
+    hosts: Vec<Host>,
+}
+
+struct Host {
+    name: String,
+    entry: Option<Child>,
+    control: Option<Child>,
+}
+
+/// Which daemon of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Daemon {
+    Entry,
+    Control,
+}
+
+/// An answer, read whole.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+}
+
+impl Bench {
+    /// Starts all processes; `base_port` keeps tests that run at once apart.
+    pub fn start(name: &str, deployment: &'static Deployment, base_port: u16) -> Bench {
+        let ports = Ports { base: base_port };
+        let folder = env::temp_dir().join(format!("oleanderspan-{name}-{}", std::process::id()));
+        sample::write(deployment, ports, Duration::from_millis(20), &folder).unwrap();
+        let platform = launch(
+            &folder,
+            "platform",
+            "oleanderspan-lab",
+            &["platform", "--address", &ports.platform().to_string(), "--servers", "servers.json"],
+        );
+        let fleet =
+            launch(&folder, "fleet", "oleanderspan-lab", &["fleet", "--file", "fleet.json"]);
+        let hosts = deployment.hosts().into_iter().map(|host| Host {
+            name: host.name,
+            entry: None,
+            control: None,
+        });
+        let mut bench = Bench {
+            deployment,
+            ports,
+            folder,
+            client: Client::new(Protocol::Http1),
+            platform,
+            fleet,
+            hosts: hosts.collect(),
+        };
+        for host in 1..=bench.count() {
+            bench.launch(host, Daemon::Control);
+            bench.launch(host, Daemon::Entry);
+        }
+        bench
+    }
+
+    /// The number of entry hosts.
+    pub fn count(&self) -> u16 {
+        u16::try_from(self.hosts.len()).unwrap()
+    }
+
+    /// Starts one daemon of a host.
+    pub fn launch(&mut self, host: u16, daemon: Daemon) {
+        let name = self.hosts[usize::from(host) - 1].name.clone();
+        let settings = format!("settings/{name}.json");
+        let (binary, part) = match daemon {
+            Daemon::Entry => ("oleanderspan-entry", "entry"),
+            Daemon::Control => ("oleanderspan-control", "control"),
+        };
+        let child =
+            launch(&self.folder, &format!("{name}.{part}"), binary, &["--settings", &settings]);
+        *self.slot(host, daemon) = Some(child);
+    }
+
+    /// Kills one daemon of a host without warning.
+    pub fn kill(&mut self, host: u16, daemon: Daemon) {
+        if let Some(mut child) = self.slot(host, daemon).take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Sends a signal to one daemon: `STOP`, `CONT` or `TERM`.
+    pub fn signal(&mut self, host: u16, daemon: Daemon, signal: &str) {
+        let id = self.slot(host, daemon).as_ref().unwrap().id().to_string();
+        let status = Command::new("kill").args([&format!("-{signal}"), &id]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for a daemon that was told to stop, and returns its exit code.
+    pub fn wait(&mut self, host: u16, daemon: Daemon) -> Option<i32> {
+        let mut child = self.slot(host, daemon).take().unwrap();
+        child.wait().unwrap().code()
+    }
+
+    fn slot(&mut self, host: u16, daemon: Daemon) -> &mut Option<Child> {
+        let host = &mut self.hosts[usize::from(host) - 1];
+        match daemon {
+            Daemon::Entry => &mut host.entry,
+            Daemon::Control => &mut host.control,
+        }
+    }
+
+    /// Runs the operator's command in the folder of the deployment.
+    pub fn operate(&self, arguments: &[&str]) -> Output {
+        Command::new(binary("oleanderspan"))
+            .args(arguments)
+            .current_dir(&self.folder)
+            .output()
+            .unwrap()
+    }
+
+    /// Proposes `production.json` and waits until every host has it in force.
+    pub async fn install(&self) {
+        let control = self.ports.operator(1).to_string();
+        let propose = ["propose", "--control", &control, "--base", "0", "production.json"];
+        let started = Instant::now();
+        while !self.operate(&propose).status.success() {
+            assert!(started.elapsed() < PATIENCE, "no proposal was accepted");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        for host in 1..=self.count() {
+            let all = usize::from(self.count());
+            self.until(async || self.live_hosts(host).await == all).await;
+        }
+    }
+
+    /// How many hosts the entry daemon of a host knows to take callers.
+    pub async fn live_hosts(&self, host: u16) -> usize {
+        let path = "/.well-known/oleanderspan/ready";
+        let answer = self.get(self.ports.caller(host), "-", path).await;
+        let ready: Option<serde_json::Value> =
+            answer.ok().and_then(|answer| serde_json::from_slice(&answer.body).ok());
+        let live = ready.and_then(|ready| ready["live_hosts"].as_u64());
+        live.map_or(0, |live| usize::try_from(live).unwrap())
+    }
+
+    /// What a host has in force.
+    pub async fn status(&self, host: u16) -> Option<Status> {
+        let answer = self.get(self.ports.operator(host), "-", "/v1/status").await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    /// Waits until an entry host says that it is ready.
+    pub async fn until_ready(&self, host: u16) {
+        let path = "/.well-known/oleanderspan/ready";
+        self.until(async || {
+            let answer = self.get(self.ports.caller(host), "-", path).await;
+            answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Waits until a condition holds.
+    pub async fn until(&self, mut holds: impl AsyncFnMut() -> bool) {
+        let started = Instant::now();
+        while !holds().await {
+            assert!(started.elapsed() < PATIENCE, "the condition never held");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// The authority of a service.
+    pub fn authority(&self, service: &str) -> String {
+        format!("{service}.{}.example", self.deployment.name)
+    }
+
+    /// Sends a read to an address.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        authority: &str,
+        path: &str,
+    ) -> Result<Answer, Error> {
+        self.send(address, Request::get(path).header("host", authority), Bytes::new()).await
+    }
+
+    /// Sends a request to an address; the builder holds method, path and headers.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        builder: http::request::Builder,
+        body: Bytes,
+    ) -> Result<Answer, Error> {
+        let mut request = builder.body(Body::from(body)).unwrap();
+        let path = request.uri().path_and_query().unwrap().clone();
+        *request.uri_mut() = format!("http://{address}{path}").parse().unwrap();
+        let whole = async {
+            let (head, body) = self.client.send(request).await?.into_parts();
+            let body = body.collect().await.map_err(|error| Error::Broken(error.to_string()))?;
+            Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+        };
+        tokio::time::timeout(PATIENCE, whole).await.unwrap_or(Err(Error::TimedOut))
+    }
+
+    /// Makes the platform misbehave.
+    pub async fn set_faults(&self, faults: &Faults) {
+        let body = serde_json::to_vec(faults).unwrap();
+        let answer =
+            self.send(self.ports.platform(), Request::post("/lab/faults"), body.into()).await;
+        assert_eq!(answer.unwrap().status, StatusCode::NO_CONTENT);
+    }
+
+    /// What a backend server has run; servers are numbered from 0 in the order of the list.
+    pub async fn ledger(&self, server: u16) -> Ledger {
+        let answer = self.get(self.ports.server(server), "-", "/lab/ledger").await.unwrap();
+        serde_json::from_slice(&answer.body).unwrap()
+    }
+
+    /// How often a request ran, over all servers, by its key or id.
+    pub async fn runs(&self, key: &str) -> u32 {
+        let mut runs = 0;
+        let servers = self.deployment.listed(self.ports).len();
+        for server in 0..u16::try_from(servers).unwrap() {
+            runs += self.ledger(server).await.runs.get(key).copied().unwrap_or(0);
+        }
+        runs
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        let hosts = self.hosts.iter_mut().flat_map(|host| [host.entry.take(), host.control.take()]);
+        let children = hosts.flatten();
+        for mut child in children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        for child in [&mut self.platform, &mut self.fleet] {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// The path of a binary of the workspace, built beside the test.
+pub fn binary(name: &str) -> PathBuf {
+    let test = env::current_exe().unwrap();
+    test.parent().unwrap().parent().unwrap().join(name)
+}
+
+fn launch(folder: &PathBuf, log: &str, name: &str, arguments: &[&str]) -> Child {
+    let log = fs::File::create(folder.join(format!("{log}.log"))).unwrap();
+    Command::new(binary(name))
+        .args(arguments)
+        .current_dir(folder)
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
--- /dev/null
+++ b/crates/node/src/control/exchange.rs
@@ -0,0 +1,241 @@
+//! Exchange between control daemons, and the feed of the own entry daemon.
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use oleanderspan::{document::Version, event::Kind, event::Stamp, prelude::*};
+use slog::debug;
+
+use crate::{
+    codec,
+    control::{
+        State,
+        state::{Accepted, Peer as Heard},
+    },
+    entry::feed::POLL_LIMIT,
+    http::{Body, server::Handler},
+    wire,
+};
+
+/// The mean time between two exchanges with a peer.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// The longest time for one exchange.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// The silence after which a host counts as gone.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// The largest message between control daemons.
+const MAX_MESSAGE_BYTES: usize = 64 << 20;
+
+/// How often an open question for the next snapshot is looked at.
+const FEED_TICK: Duration = Duration::from_millis(20);
+
+/// Exchanges with every peer for ever.
+pub async fn run(state: State) {
+    loop {
+        let peers = state.settings.control.peers.clone();
+        for peer in peers {
+            let state = state.clone();
+            tokio::spawn(async move {
+                if let Err(error) = exchange_with(&state, peer).await {
+                    debug!(state.log, "no exchange"; "peer" => %peer, "error" => error);
+                }
+            });
+        }
+        forget_silent(&state);
+        let jitter = rand::random_range(0.75..1.25);
+        tokio::time::sleep(INTERVAL.mul_f64(jitter)).await;
+    }
+}
+
+fn forget_silent(state: &State) {
+    let now = state.clock.now();
+    let gone: Vec<String> = {
+        let mut inner = state.lock();
+        let silent = |peer: &Heard| now.since(peer.heard) > SILENCE;
+        let gone = inner.hosts.iter().filter(|(_, peer)| silent(peer));
+        let gone: Vec<String> = gone.map(|(name, _)| name.clone()).collect();
+        inner.hosts.retain(|_, peer| !silent(peer));
+        gone
+    };
+    for name in gone {
+        state.record(Kind::HostChanged, name, "gone");
+        state.changed.notify_one();
+    }
+}
+
+async fn exchange_with(state: &State, peer: SocketAddr) -> Result<(), String> {
+    let body = codec::to_wire(&message(state)).map_err(|error| error.to_string())?;
+    let request = Request::post(format!("http://{peer}/exchange"))
+        .body(Body::from(Bytes::from(body)))
+        .map_err(|error| error.to_string())?;
+    let answered = state.peers.call(request, LIMIT).await;
+    let (_, body) = answered.map_err(|error| error.to_string())?;
+    let answer = codec::from_wire(&body).map_err(|error| error.to_string())?;
+    take_over(state, answer).await
+}
+
+fn message(state: &State) -> wire::Exchange {
+    let from = state.own_host();
+    let inner = state.lock();
+    let accepted = inner.accepted.as_ref();
+    wire::Exchange {
+        from,
+        stamp: state.hybrid.tick(crate::clock::wall_millis()).get(),
+        environment: state.settings.environment.to_string(),
+        version: accepted.map_or(0, |accepted| accepted.version.0),
+        document: accepted.map_or_else(String::new, |accepted| accepted.hash.clone()),
+        leaving: inner.leaving.iter().cloned().collect(),
+    }
+}
+
+async fn take_over(state: &State, heard: wire::Exchange) -> Result<(), String> {
+    if heard.environment != state.settings.environment.as_str() {
+        return Err(format!("peer {} serves {}", heard.from.name, heard.environment));
+    }
+    state.hybrid.observe(Stamp::from_number(heard.stamp));
+    for (name, incarnation) in &heard.leaving {
+        state.note_leaving(name, *incarnation);
+    }
+    let address = heard.from.peer_address;
+    note_host(state, heard.from);
+    let known = state.lock().accepted.as_ref().map_or(Version::NONE, |a| a.version);
+    if Version(heard.version) > known {
+        fetch_from(state, address, Version(heard.version), heard.document).await?;
+    }
+    Ok(())
+}
+
+fn note_host(state: &State, host: wire::Host) {
+    let heard = state.clock.now();
+    let name = host.name.clone();
+    let detail = format!("{:?}", host.state).to_lowercase();
+    let before = state.lock().hosts.insert(name.clone(), Heard { host: host.clone(), heard });
+    if before.is_none_or(|before| before.host != host) {
+        state.record(Kind::HostChanged, name, detail);
+        state.changed.notify_one();
+    }
+}
+
+/// Takes a document over from a peer, so that it spreads also while the store is away.
+async fn fetch_from(
+    state: &State,
+    peer: SocketAddr,
+    version: Version,
+    hash: String,
+) -> Result<(), String> {
+    let request = Request::get(format!("http://{peer}/document/{hash}"))
+        .body(Body::empty())
+        .map_err(|error| error.to_string())?;
+    let answered = state.peers.call(request, LIMIT).await;
+    let (status, body) = answered.map_err(|error| error.to_string())?;
+    if status != StatusCode::OK || codec::hash(&body) != hash {
+        return Err(format!("peer does not have document {hash}"));
+    }
+    let raw = codec::from_wire(&body).map_err(|error| error.to_string())?;
+    let accepted = Accepted::new(version, hash, raw).map_err(|error| error.to_string())?;
+    state.put_in_force(accepted);
+    Ok(())
+}
+
+/// Answers other control daemons and the own entry daemon.
+#[derive(Clone, Debug)]
+pub struct Peer(pub State);
+
+impl Handler for Peer {
+    type Guard = ();
+
+    async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        if let Some(seen) = path.strip_prefix("/snapshot/") {
+            return self.snapshot(seen).await;
+        }
+        if path.starts_with("/blocks/") {
+            return self.blocks();
+        }
+        if let Some(hash) = path.strip_prefix("/document/") {
+            return self.document(hash);
+        }
+        let Ok(body) = Limited::new(body, MAX_MESSAGE_BYTES).collect().await else {
+            return status(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        match (&head.method, path) {
+            (&Method::POST, "/exchange") => self.exchange(&body.to_bytes()).await,
+            (&Method::POST, "/observe") => self.observe(&body.to_bytes()),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Peer {
+    /// Answers as soon as there is a snapshot after `seen`, or with nothing after a while.
+    async fn snapshot(&self, seen: &str) -> Response<Body> {
+        let Ok(seen) = seen.parse::<u64>() else { return status(StatusCode::BAD_REQUEST) };
+        let until = self.0.clock.now() + POLL_LIMIT;
+        while self.0.clock.now() < until {
+            let snapshot = self.0.lock().snapshot.clone();
+            if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.sequence != seen) {
+                return wire(&*snapshot);
+            }
+            tokio::time::sleep(FEED_TICK).await;
+        }
+        status(StatusCode::NO_CONTENT)
+    }
+
+    fn blocks(&self) -> Response<Body> {
+        let accepted = self.0.lock().accepted.clone();
+        match accepted {
+            Some(accepted) => wire(&wire::Blocks { blocks: accepted.raw.blocks.clone() }),
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn document(&self, hash: &str) -> Response<Body> {
+        let accepted = self.0.lock().accepted.clone();
+        match accepted.filter(|accepted| accepted.hash == hash) {
+            Some(accepted) => wire(&*accepted.raw),
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn exchange(&self, body: &[u8]) -> Response<Body> {
+        let Ok(heard) = codec::from_wire::<wire::Exchange>(body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let answer = message(&self.0);
+        let state = self.0.clone();
+        tokio::spawn(async move {
+            if let Err(error) = take_over(&state, heard).await {
+                debug!(state.log, "exchange not taken over"; "error" => error);
+            }
+        });
+        wire(&answer)
+    }
+
+    fn observe(&self, body: &[u8]) -> Response<Body> {
+        let Ok(observation) = codec::from_wire::<wire::Observation>(body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        for (name, incarnation) in &observation.leaving {
+            self.0.note_leaving(name, *incarnation);
+        }
+        status(StatusCode::NO_CONTENT)
+    }
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = code;
+    response
+}
+
+fn wire<T: serde::Serialize>(value: &T) -> Response<Body> {
+    match codec::to_wire(value) {
+        Ok(bytes) => Response::new(Body::from(Bytes::from(bytes))),
+        Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/operator.rs
@@ -0,0 +1,270 @@
+//! The operator interface, made with dropshot; `docs/openapi.json` is its OpenAPI page.
+
+use dropshot::{
+    ApiDescription, ConfigDropshot, HttpError, HttpResponseCreated, HttpResponseOk, HttpServer,
+    Path, RequestContext, ServerBuilder, TypedBody, endpoint,
+};
+use oleanderspan::document::{Draft, Version, raw};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use slog::o;
+
+use crate::control::{
+    State,
+    acceptance::{self, Verdict},
+};
+
+/// The largest document that can be proposed.
+const MAX_DOCUMENT_BYTES: usize = 64 << 20;
+
+/// An environment in a path.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct EnvironmentPath {
+    /// The environment.
+    environment: String,
+}
+
+/// What is in force on a host.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Status {
+    /// The host that answers.
+    pub host: String,
+    /// The environment that it serves.
+    pub environment: String,
+    /// The version in force; 0 before the first document.
+    pub version: u64,
+    /// The content hash of the document in force.
+    pub document: String,
+    /// The hosts that it knows.
+    pub hosts: Vec<HostStatus>,
+    /// Shares in force, in parts per million: by service, by region of the caller, by region.
+    pub shares: Vec<Vec<Vec<u32>>>,
+}
+
+/// One host as another sees it.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct HostStatus {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its state.
+    pub state: String,
+}
+
+/// A proposed document.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Proposal {
+    /// The version that the operator saw; 0 for the first document.
+    pub base: u64,
+    /// The operation id; a repetition with the same one is harmless.
+    pub operation: String,
+    /// The document.
+    pub document: raw::Document,
+}
+
+/// A promotion of the document of another environment.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Promotion {
+    /// The environment whose document is promoted.
+    pub from: String,
+    /// The version of that environment that was tried.
+    pub tried: u64,
+    /// The version that the operator saw in the environment that receives it.
+    pub base: u64,
+    /// The operation id; a repetition with the same one is harmless.
+    pub operation: String,
+}
+
+/// An accepted document.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Acceptance {
+    /// Its version.
+    pub version: u64,
+}
+
+/// A document with its version.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Document {
+    /// Its version.
+    pub version: u64,
+    /// The document.
+    pub document: raw::Document,
+}
+
+/// An event of the time line.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct TimelineEvent {
+    /// Hybrid logical time; it sorts like the events.
+    pub stamp: u64,
+    /// The process.
+    pub process: String,
+    /// What happened.
+    pub kind: String,
+    /// To what or whom.
+    pub subject: String,
+    /// How.
+    pub detail: String,
+}
+
+/// Starts the interface.
+pub fn serve(state: State) -> Result<HttpServer<State>, String> {
+    let config = ConfigDropshot {
+        bind_address: state.settings.control.operator_address,
+        default_request_body_max_bytes: MAX_DOCUMENT_BYTES,
+        ..ConfigDropshot::default()
+    };
+    let log = state.log.new(o!("part" => "operator"));
+    let server = ServerBuilder::new(api()?, state, log).config(config).start();
+    server.map_err(|error| error.to_string())
+}
+
+/// The description of the interface.
+pub fn api() -> Result<ApiDescription<State>, String> {
+    let mut api = ApiDescription::new();
+    let registered = [
+        api.register(get_status),
+        api.register(get_document),
+        api.register(propose),
+        api.register(promote),
+        api.register(get_timeline),
+    ];
+    registered.into_iter().collect::<Result<Vec<()>, _>>().map_err(|error| error.to_string())?;
+    Ok(api)
+}
+
+/// What is in force on this host.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn get_status(context: RequestContext<State>) -> Result<HttpResponseOk<Status>, HttpError> {
+    let state = context.context();
+    let own = state.own_host();
+    let inner = state.lock();
+    let mut hosts: Vec<_> = inner.hosts.values().map(|peer| peer.host.clone()).collect();
+    hosts.push(own.clone());
+    hosts.sort_by(|a, b| a.name.cmp(&b.name));
+    let hosts = hosts.into_iter().map(|host| HostStatus {
+        state: format!("{:?}", host.state).to_lowercase(),
+        name: host.name,
+        zone: host.zone,
+    });
+    Ok(HttpResponseOk(Status {
+        host: own.name,
+        environment: state.settings.environment.to_string(),
+        version: inner.accepted.as_ref().map_or(0, |accepted| accepted.version.0),
+        document: inner.accepted.as_ref().map_or_else(String::new, |a| a.hash.clone()),
+        hosts: hosts.collect(),
+        shares: inner.snapshot.as_ref().map_or_else(Vec::new, |s| s.shares.clone()),
+    }))
+}
+
+/// The document in force in an environment.
+#[endpoint { method = GET, path = "/v1/environments/{environment}/document" }]
+async fn get_document(
+    context: RequestContext<State>,
+    path: Path<EnvironmentPath>,
+) -> Result<HttpResponseOk<Document>, HttpError> {
+    let state = context.context();
+    let environment = path.into_inner().environment;
+    let own = state.lock().accepted.clone();
+    if let Some(own) = own.filter(|_| state.settings.environment.as_str() == environment) {
+        let document = (*own.raw).clone();
+        return Ok(HttpResponseOk(Document { version: own.version.0, document }));
+    }
+    let (version, standing) = standing(state, &environment).await?;
+    let document = acceptance::fetch(state, &standing.document).await.map_err(unavailable)?;
+    let document = document.ok_or_else(|| missing("the document is not in the store"))?;
+    Ok(HttpResponseOk(Document { version: version.0, document }))
+}
+
+/// Proposes a document; exactly one of several racing operators wins.
+#[endpoint { method = POST, path = "/v1/environments/{environment}/proposals" }]
+async fn propose(
+    context: RequestContext<State>,
+    path: Path<EnvironmentPath>,
+    body: TypedBody<Proposal>,
+) -> Result<HttpResponseCreated<Acceptance>, HttpError> {
+    let environment = path.into_inner().environment;
+    let proposal = body.into_inner();
+    if proposal.document.environment != environment {
+        let found = &proposal.document.environment;
+        return Err(invalid(format!("environment: {found:?} is proposed for {environment:?}")));
+    }
+    Draft::try_from(&proposal.document).map_err(|error| invalid(error.to_string()))?;
+    let base = Version(proposal.base);
+    let state = context.context();
+    let verdict =
+        acceptance::propose(state, &environment, base, &proposal.operation, &proposal.document);
+    conclude(verdict.await.map_err(unavailable)?)
+}
+
+/// Promotes the very document that was tried in another environment.
+#[endpoint { method = POST, path = "/v1/environments/{environment}/promotions" }]
+async fn promote(
+    context: RequestContext<State>,
+    path: Path<EnvironmentPath>,
+    body: TypedBody<Promotion>,
+) -> Result<HttpResponseCreated<Acceptance>, HttpError> {
+    let environment = path.into_inner().environment;
+    let promotion = body.into_inner();
+    let state = context.context();
+    let (tried, standing) = standing(state, &promotion.from).await?;
+    if tried.0 != promotion.tried {
+        return conclude(Verdict::Raced(tried));
+    }
+    let document = acceptance::fetch(state, &standing.document).await.map_err(unavailable)?;
+    let tried = document.ok_or_else(|| missing("the document is not in the store"))?;
+    let document = raw::Document { environment: environment.clone(), ..tried };
+    let base = Version(promotion.base);
+    let verdict = acceptance::propose(state, &environment, base, &promotion.operation, &document);
+    conclude(verdict.await.map_err(unavailable)?)
+}
+
+/// The recent events that this process recorded.
+#[endpoint { method = GET, path = "/v1/timeline" }]
+async fn get_timeline(
+    context: RequestContext<State>,
+) -> Result<HttpResponseOk<Vec<TimelineEvent>>, HttpError> {
+    let state = context.context();
+    let inner = state.lock();
+    let events = inner.events.iter().map(|event| TimelineEvent {
+        stamp: event.stamp.get(),
+        process: event.process.to_string(),
+        kind: event.kind.to_string(),
+        subject: event.subject.clone(),
+        detail: event.detail.clone(),
+    });
+    Ok(HttpResponseOk(events.collect()))
+}
+
+async fn standing(
+    state: &State,
+    environment: &str,
+) -> Result<(Version, acceptance::Standing), HttpError> {
+    let found = acceptance::read(state, environment).await.map_err(unavailable)?;
+    found.ok_or_else(|| missing("the environment has no document"))
+}
+
+fn conclude(verdict: Verdict) -> Result<HttpResponseCreated<Acceptance>, HttpError> {
+    match verdict {
+        Verdict::Accepted(version) => Ok(HttpResponseCreated(Acceptance { version: version.0 })),
+        Verdict::Raced(version) => Err(HttpError::for_client_error(
+            Some("raced".to_owned()),
+            dropshot::ClientErrorStatusCode::CONFLICT,
+            format!("version {version} is in force"),
+        )),
+        Verdict::Away(reason) => Err(HttpError::for_unavail(Some("away".to_owned()), reason)),
+        Verdict::Unknown(reason) => Err(HttpError::for_unavail(Some("unknown".to_owned()), reason)),
+    }
+}
+
+fn invalid(reason: String) -> HttpError {
+    HttpError::for_bad_request(Some("invalid".to_owned()), reason)
+}
+
+fn missing(reason: &str) -> HttpError {
+    HttpError::for_not_found(Some("missing".to_owned()), reason.to_owned())
+}
+
+fn unavailable(error: crate::control::state::Error) -> HttpError {
+    HttpError::for_unavail(Some("away".to_owned()), error.to_string())
+}
--- /dev/null
+++ b/crates/node/src/control/publication.rs
@@ -0,0 +1,87 @@
+//! Publication of snapshots to the own entry daemon.
+
+use std::collections::BTreeMap;
+
+use oleanderspan::{
+    document::raw,
+    prelude::*,
+    shift::{Slew, slew::Permit},
+};
+
+use crate::{
+    control::{
+        State,
+        state::{Accepted, Inner},
+    },
+    wire,
+};
+
+/// How often shares move.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Publishes a snapshot whenever something changed.
+pub async fn run(state: State) {
+    loop {
+        let _ = tokio::time::timeout(TICK, state.changed.notified()).await;
+        publish(&state);
+    }
+}
+
+fn publish(state: &State) {
+    let own = state.own_host();
+    let now = state.clock.now();
+    let mut inner = state.lock();
+    let Some(accepted) = inner.accepted.clone() else { return };
+    move_shares(&mut inner, &accepted, now);
+    let sequence = inner.snapshot.as_ref().map_or(0, |snapshot| snapshot.sequence);
+    let next = compose(&inner, &accepted, own, sequence + 1);
+    if inner.snapshot.as_ref().is_none_or(|last| differs(last, &next)) {
+        inner.snapshot = Some(Arc::new(next));
+    }
+}
+
+fn move_shares(inner: &mut Inner, accepted: &Accepted, now: Instant) {
+    for service in &accepted.draft.services {
+        let slews = inner.shares.entry(service.name.to_string()).or_insert_with(|| {
+            service.routes.iter().map(|target| Slew::new(target.clone(), now)).collect()
+        });
+        for (slew, target) in slews.iter_mut().zip(&service.routes) {
+            slew.advance(target, &service.shift, Permit::Go, now);
+        }
+    }
+}
+
+fn compose(inner: &Inner, accepted: &Accepted, own: wire::Host, sequence: u64) -> wire::Snapshot {
+    let document = raw::Document { blocks: BTreeMap::new(), ..(*accepted.raw).clone() };
+    let mut hosts: Vec<wire::Host> = inner.hosts.values().map(|peer| peer.host.clone()).collect();
+    hosts.push(own);
+    hosts.sort_by(|a, b| a.name.cmp(&b.name));
+    let servers = inner.list.servers.iter().map(|server| wire::Server {
+        name: server.name.clone(),
+        incarnation: server.incarnation,
+        service: server.service.clone(),
+        zone: server.zone.clone(),
+        address: server.address,
+        leaving: inner.leaving.contains(&(server.name.clone(), server.incarnation)),
+    });
+    let shares = accepted.draft.services.iter().map(|service| {
+        let slews = inner.shares.get(service.name.as_str());
+        slews.into_iter().flatten().map(|slew| slew.shares().shares().to_vec()).collect()
+    });
+    wire::Snapshot {
+        sequence,
+        version: accepted.version.0,
+        blocks: accepted.blocks.clone(),
+        servers: servers.collect(),
+        shares: shares.collect(),
+        document,
+        hosts,
+    }
+}
+
+fn differs(last: &wire::Snapshot, next: &wire::Snapshot) -> bool {
+    last.version != next.version
+        || last.hosts != next.hosts
+        || last.servers != next.servers
+        || last.shares != next.shares
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,42 @@
+//! The entry daemon: the path of a request.
+
+pub mod dispatch;
+pub mod feed;
+pub mod front;
+pub mod parcel;
+pub mod refusal;
+pub mod relay;
+pub mod slot;
+pub mod state;
+pub mod steer;
+
+use std::io;
+
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+pub use state::State;
+
+use crate::{http::server, settings::Settings};
+
+/// Runs until `stop` and the end of the last request in flight.
+pub async fn run(settings: Settings, log: Logger, stop: CancellationToken) -> io::Result<()> {
+    let callers = TcpListener::bind(settings.entry.caller_address).await?;
+    let relays = TcpListener::bind(settings.entry.relay_address).await?;
+    info!(log, "listening"; "callers" => %settings.entry.caller_address,
+        "relays" => %settings.entry.relay_address);
+    let state = State::start(&settings, log)?;
+    let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
+    // Other hosts relay to this one until they learn that it leaves, so the relay port stays
+    // open until the callers of this host are served.
+    let relays_stop = CancellationToken::new();
+    let relay =
+        tokio::spawn(server::serve(relays, relay::Relay(state.clone()), relays_stop.clone()));
+    state.drain_after(stop.clone()).await;
+    server::serve(callers, front::Front(state.clone()), state.closed()).await;
+    relays_stop.cancel();
+    let _ = relay.await;
+    feed.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/entry/dispatch.rs
@@ -0,0 +1,145 @@
+//! The last hop: a slot of a backend server, the request, and what its answer proves.
+
+use http::Response;
+use hyper::body::Incoming;
+use oleanderspan::{
+    backend::Server,
+    prelude::*,
+    region,
+    request::{Outcome, Refusal, Repeat, retry::Deadline},
+    service,
+};
+use slog::debug;
+
+use crate::{
+    entry::{
+        parcel::Parcel,
+        slot::{self, Lease},
+        state::{Shared, Snapshot},
+    },
+    http::{Body, client, header as names},
+    wire,
+};
+
+/// The most attempts of one request in one region.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// What a hop has to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// The identity of the request.
+    pub id: &'a str,
+    /// The service.
+    pub service: service::Index,
+    /// The region that shall serve it.
+    pub region: region::Index,
+    /// Whether it may be repeated.
+    pub repeat: Repeat,
+    /// When its answer must have begun.
+    pub deadline: Deadline,
+}
+
+impl Call<'_> {
+    /// Whether the request may be sent once more after `refusal`.
+    pub fn may_repeat_after(&self, refusal: Refusal) -> bool {
+        refusal.outcome() == Outcome::NotRun || self.repeat == Repeat::Harmless
+    }
+
+    /// The time left, or a refusal that proves that nothing was sent.
+    pub fn left(&self, now: Instant) -> Result<Duration, Refusal> {
+        self.deadline.left(now).ok_or(Refusal::Expired)
+    }
+}
+
+/// An answer that holds the slot until its body has ended.
+pub type Answer = Response<Body<Lease>>;
+
+/// Sends a request to a backend server of the region, again to another where that is safe.
+pub async fn dispatch(
+    state: &Shared,
+    snapshot: &Snapshot,
+    call: Call<'_>,
+    parcel: &mut Parcel,
+) -> Result<Answer, Refusal> {
+    snapshot.retries(call.service).earn();
+    let mut attempts = 1;
+    let mut outcome = Outcome::NotRun;
+    loop {
+        let refusal = match attempt(state, snapshot, call, parcel).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        outcome = outcome.and(refusal.outcome());
+        let again = matches!(refusal, Refusal::Shed | Refusal::Unreachable | Refusal::Broken)
+            && call.may_repeat_after(refusal)
+            && parcel.can_send()
+            && attempts < MAX_ATTEMPTS
+            && snapshot.retries(call.service).try_spend();
+        if !again {
+            // An earlier attempt that may have run outweighs a later one that did not.
+            return Err(if outcome == refusal.outcome() { refusal } else { Refusal::Broken });
+        }
+        attempts += 1;
+        debug!(state.log, "retry"; "request" => call.id, "refusal" => refusal.as_str());
+    }
+}
+
+async fn attempt(
+    state: &Shared,
+    snapshot: &Snapshot,
+    call: Call<'_>,
+    parcel: &mut Parcel,
+) -> Result<Answer, Refusal> {
+    let limits = &snapshot.described(call.service).limits;
+    let wait = call.left(state.clock.now())?.min(limits.queue_timeout);
+    let lease = slot::acquire(snapshot.pool(call.service, call.region), wait).await?;
+    let server = lease.server().cloned().ok_or(Refusal::NoServer)?;
+    let left = call.left(state.clock.now())?;
+    let headers = &mut parcel.head_mut().headers;
+    headers.insert(
+        names::TIMEOUT_MS,
+        left.as_millis().to_string().parse().unwrap_or(names::value("")),
+    );
+    let request = parcel.send_to(server.address).ok_or(Refusal::Broken)?;
+    let sent_at = state.clock.now();
+    let answered = tokio::time::timeout(left, state.servers.send(request)).await;
+    let answer = match answered {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(client::Error::Connect(_))) => {
+            server.observe_failure();
+            return Err(Refusal::Unreachable);
+        }
+        Ok(Err(_)) => {
+            server.observe_failure();
+            return Err(Refusal::Broken);
+        }
+        Err(_) => {
+            server.observe_failure();
+            return Err(Refusal::TimedOut);
+        }
+    };
+    note_leaving(state, &server, &answer);
+    if names::text(answer.headers(), &names::OUTCOME) == Some(Outcome::NotRun.as_str()) {
+        return Err(Refusal::Shed);
+    }
+    server.observe(state.clock.now().since(sent_at));
+    Ok(answer_of(answer, lease))
+}
+
+fn note_leaving(state: &Shared, server: &Server, answer: &Response<Incoming>) {
+    if !answer.headers().contains_key(names::LEAVING) || server.is_leaving() {
+        return;
+    }
+    server.mark_leaving();
+    let identity = &server.identity;
+    let leaving = vec![(identity.name.to_string(), identity.incarnation)];
+    state.observe(wire::Observation { leaving });
+}
+
+fn answer_of(answer: Response<Incoming>, lease: Lease) -> Answer {
+    let (mut head, body) = answer.into_parts();
+    names::strip_hop_by_hop(&mut head.headers);
+    names::strip_internal(&mut head.headers);
+    head.headers.insert(names::OUTCOME, names::value(Outcome::Done.as_str()));
+    Response::from_parts(head, Body::guarded(body, lease))
+}
--- /dev/null
+++ b/crates/node/src/entry/front.rs
@@ -0,0 +1,165 @@
+//! What callers ask an entry daemon: which host to use, and their requests.
+
+use http::{HeaderMap, Method, Request, Response, header, request};
+use hyper::body::Incoming;
+use oleanderspan::{
+    prelude::*,
+    request::{Outcome, Refusal, Repeat, retry::Deadline},
+};
+use serde::Serialize;
+use slog::debug;
+
+use crate::{
+    codec,
+    entry::{
+        State,
+        dispatch::{Answer, Call},
+        parcel::Parcel,
+        refusal,
+        slot::Lease,
+        state::Snapshot,
+        steer,
+    },
+    http::{Body, header as names, server::Handler},
+};
+
+/// Where callers ask which entry host to use.
+pub const LOCATE_PATH: &str = "/.well-known/oleanderspan/locate";
+
+/// Where a host tells whether it has learned what is in force.
+pub const READY_PATH: &str = "/.well-known/oleanderspan/ready";
+
+/// Answers callers.
+#[derive(Clone, Debug)]
+pub struct Front(pub State);
+
+/// The body of a locate answer.
+#[derive(Debug, Serialize)]
+struct Located<'a> {
+    /// Entry hosts, best first.
+    hosts: &'a [SocketAddr],
+    /// How long the answer may be kept, in seconds.
+    max_age_s: u64,
+}
+
+/// The body of a ready answer.
+#[derive(Debug, Serialize)]
+struct Ready {
+    /// The version in force.
+    version: u64,
+    /// Entry hosts that take callers, as this one knows them.
+    live_hosts: usize,
+}
+
+impl Handler for Front {
+    type Guard = Lease;
+
+    async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Answer {
+        let (head, body) = request.into_parts();
+        let id = request_id(&head.headers);
+        let answered = match (head.uri.path(), &head.method) {
+            (LOCATE_PATH, &Method::GET) => self.locate(&head, peer),
+            (READY_PATH, &Method::GET) => self.ready(),
+            _ => self.request(&id, head, body, peer).await,
+        };
+        let mut answer = answered.unwrap_or_else(|refusal| {
+            debug!(self.0.log, "refused"; "request" => &id, "refusal" => refusal.as_str());
+            refusal::response(refusal, &id, None)
+        });
+        answer.headers_mut().insert(names::REQUEST_ID, names::value(&id));
+        answer
+    }
+}
+
+impl Front {
+    fn locate(&self, head: &request::Parts, peer: SocketAddr) -> Result<Answer, Refusal> {
+        let snapshot = self.0.snapshot().ok_or(Refusal::NotReady)?;
+        let query = head.uri.query().unwrap_or("");
+        let address = match query.strip_prefix("address=") {
+            Some(address) => address.parse().map_err(|_| Refusal::Malformed)?,
+            None => peer.ip(),
+        };
+        let answer = snapshot.locate(address).ok_or(Refusal::NotReady)?;
+        let max_age_s = snapshot.draft.locate.max_age.as_secs();
+        let located = Located { hosts: &answer.addresses, max_age_s };
+        let mut response = json(&located);
+        let cache = names::value(&format!("private, max-age={max_age_s}"));
+        response.headers_mut().insert(header::CACHE_CONTROL, cache);
+        Ok(response)
+    }
+
+    fn ready(&self) -> Result<Answer, Refusal> {
+        let snapshot = self.0.snapshot().ok_or(Refusal::NotReady)?;
+        snapshot.own_host().filter(|host| host.takes_callers()).ok_or(Refusal::NotReady)?;
+        let live_hosts = snapshot.hosts.iter().filter(|host| host.takes_callers()).count();
+        Ok(json(&Ready { version: snapshot.version.0, live_hosts }))
+    }
+
+    async fn request(
+        &self,
+        id: &str,
+        mut head: request::Parts,
+        body: Incoming,
+        peer: SocketAddr,
+    ) -> Result<Answer, Refusal> {
+        let state = &self.0;
+        let snapshot = state.snapshot().ok_or(Refusal::NotReady)?;
+        let call = call(&snapshot, id, &head, peer.ip(), state.clock.now())?;
+        names::strip_hop_by_hop(&mut head.headers);
+        names::strip_internal(&mut head.headers);
+        head.headers.insert(names::REQUEST_ID, names::value(id));
+        let mut parcel = Parcel::streamed(head, body);
+        steer::steer(state, snapshot, call, &mut parcel).await
+    }
+}
+
+/// Decides what the request is and where it goes.
+fn call<'a>(
+    snapshot: &Snapshot,
+    id: &'a str,
+    head: &request::Parts,
+    caller: IpAddr,
+    now: Instant,
+) -> Result<Call<'a>, Refusal> {
+    let authority = authority(head).ok_or(Refusal::Malformed)?;
+    let service = snapshot.service(&authority).ok_or(Refusal::NoService)?;
+    let described = snapshot.described(service);
+    let repeat = match described.is_idempotent(head.method.as_str(), head.uri.path()) {
+        true => Repeat::Harmless,
+        false => Repeat::Forbidden,
+    };
+    let limit = described.limits.request_timeout;
+    let wanted = names::number(&head.headers, &names::TIMEOUT_MS).map(Duration::from_millis);
+    let deadline = Deadline(now + wanted.map_or(limit, |wanted| wanted.min(limit)));
+    let region = snapshot.next_region(service, snapshot.origin(caller));
+    Ok(Call { id, service, region, repeat, deadline })
+}
+
+/// The authority without port, in lower case: of the URI in HTTP/2, of `Host` in HTTP/1.1.
+fn authority(head: &request::Parts) -> Option<String> {
+    let named = head.uri.authority().map(|authority| authority.host());
+    let host = named.or_else(|| names::text(&head.headers, &header::HOST))?;
+    let without_port = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    };
+    Some(without_port.to_ascii_lowercase())
+}
+
+/// The caller's request id, or a new one.
+fn request_id(headers: &HeaderMap) -> String {
+    match names::text(headers, &names::REQUEST_ID) {
+        Some(id) if (1..=128).contains(&id.len()) => id.to_owned(),
+        _ => format!("{:032x}", rand::random::<u128>()),
+    }
+}
+
+/// An answer of our own with a JSON body.
+fn json<T: Serialize>(value: &T) -> Answer {
+    let body = codec::to_json(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(bytes::Bytes::from(body)));
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, names::value("application/json"));
+    headers.insert(names::OUTCOME, names::value(Outcome::Done.as_str()));
+    response
+}
--- /dev/null
+++ b/crates/node/src/entry/refusal.rs
@@ -0,0 +1,57 @@
+//! Refusals as callers and other hosts read them: a header and `application/problem+json`.
+
+use http::{Response, StatusCode, header};
+use oleanderspan::request::Refusal;
+use serde::Serialize;
+
+use crate::{
+    codec,
+    http::{Body, header as names},
+};
+
+/// The body of a refusal.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    r#type: String,
+    title: String,
+    status: u16,
+    outcome: &'a str,
+    request_id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_s: Option<u64>,
+}
+
+/// The answer that tells why a request was refused and whether it was run.
+pub fn response<G>(refusal: Refusal, request_id: &str, detail: Option<&str>) -> Response<Body<G>> {
+    let retry_after_s = refusal.retry_after().map(|wait| wait.as_secs());
+    let problem = Problem {
+        r#type: format!("urn:oleanderspan:refusal:{}", refusal.as_str()),
+        title: refusal.to_string(),
+        status: refusal.status(),
+        outcome: refusal.outcome().as_str(),
+        request_id,
+        detail,
+        retry_after_s,
+    };
+    let body = codec::to_json(&problem).unwrap_or_default();
+    let mut response = Response::new(Body::from(bytes::Bytes::from(body)));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, names::value("application/problem+json"));
+    headers.insert(header::CACHE_CONTROL, names::value("no-store"));
+    headers.insert(names::OUTCOME, names::value(refusal.outcome().as_str()));
+    headers.insert(names::REFUSAL, names::value(refusal.as_str()));
+    headers.insert(names::REQUEST_ID, names::value(request_id));
+    if let Some(seconds) = retry_after_s {
+        headers.insert(header::RETRY_AFTER, names::value(&seconds.to_string()));
+    }
+    response
+}
+
+/// The refusal that another host answered with, if its answer is one.
+pub fn parse(headers: &http::HeaderMap) -> Option<Refusal> {
+    names::text(headers, &names::REFUSAL).and_then(|code| Refusal::try_from(code).ok())
+}
--- /dev/null
+++ b/crates/node/src/entry/relay.rs
@@ -0,0 +1,79 @@
+//! Requests that other entry daemons relay to this one, because it dispatches for them.
+
+use http::{HeaderMap, Request};
+use hyper::body::Incoming;
+use oleanderspan::{
+    prelude::*,
+    region,
+    request::{Refusal, Repeat, retry::Deadline},
+    service,
+};
+
+use crate::{
+    entry::{
+        State,
+        dispatch::{self, Answer, Call},
+        parcel::Parcel,
+        refusal,
+        slot::Lease,
+        state::Snapshot,
+    },
+    http::{header as names, server::Handler},
+};
+
+/// Answers relayed requests.
+#[derive(Clone, Debug)]
+pub struct Relay(pub State);
+
+impl Handler for Relay {
+    type Guard = Lease;
+
+    async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Answer {
+        let (head, body) = request.into_parts();
+        let id = names::text(&head.headers, &names::REQUEST_ID).unwrap_or("-").to_owned();
+        let answer = self.dispatch(&id, Parcel::streamed(head, body)).await;
+        answer.unwrap_or_else(|refusal| refusal::response(refusal, &id, None))
+    }
+}
+
+impl Relay {
+    async fn dispatch(&self, id: &str, mut parcel: Parcel) -> Result<Answer, Refusal> {
+        let state = &self.0;
+        let snapshot = state.snapshot().ok_or(Refusal::NotReady)?;
+        let call = call(&snapshot, id, &parcel.head().headers, state.clock.now())?;
+        let dispatcher = snapshot.dispatcher(call.service, call.region);
+        if !dispatcher.is_some_and(|host| snapshot.is_own(host)) {
+            return Err(Refusal::Misdirected);
+        }
+        names::strip_hop_by_hop(&mut parcel.head_mut().headers);
+        names::strip_internal(&mut parcel.head_mut().headers);
+        dispatch::dispatch(state, &snapshot, call, &mut parcel).await
+    }
+}
+
+/// Reads what the first hop decided; names are resolved here, as documents may differ.
+fn call<'a>(
+    snapshot: &Snapshot,
+    id: &'a str,
+    headers: &HeaderMap,
+    now: Instant,
+) -> Result<Call<'a>, Refusal> {
+    let draft = &snapshot.draft;
+    let name = names::text(headers, &names::SERVICE).ok_or(Refusal::Malformed)?;
+    let position = draft.services.iter().position(|service| service.name.as_str() == name);
+    let service = position.and_then(|i| u16::try_from(i).ok()).map(service::Index);
+    let name = names::text(headers, &names::REGION).ok_or(Refusal::Malformed)?;
+    let region: Option<region::Index> = region::find(&draft.regions, name);
+    let left = names::number(headers, &names::TIMEOUT_MS).ok_or(Refusal::Malformed)?;
+    let repeat = match names::text(headers, &names::REPEAT) {
+        Some("harmless") => Repeat::Harmless,
+        _ => Repeat::Forbidden,
+    };
+    Ok(Call {
+        id,
+        service: service.ok_or(Refusal::Misdirected)?,
+        region: region.ok_or(Refusal::Misdirected)?,
+        repeat,
+        deadline: Deadline(now + Duration::from_millis(left)),
+    })
+}
--- /dev/null
+++ b/crates/node/src/entry/slot.rs
@@ -0,0 +1,74 @@
+//! Slots of backend servers as the daemon holds them: waited for asleep, given back on drop.
+
+use oleanderspan::{
+    backend::{Pool, Server, Waiter},
+    prelude::*,
+    request::Refusal,
+};
+use tokio::sync::oneshot;
+
+/// A slot that is taken until the lease is dropped.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Arc<Pool<Ticket>>,
+    server: Option<Arc<Server>>,
+}
+
+impl Lease {
+    fn new(pool: Arc<Pool<Ticket>>, server: Arc<Server>) -> Lease {
+        Lease { pool, server: Some(server) }
+    }
+
+    /// The server whose slot is taken.
+    pub fn server(&self) -> Option<&Arc<Server>> {
+        self.server.as_ref()
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(server) = self.server.take() {
+            self.pool.release(&server);
+        }
+    }
+}
+
+/// A place in the queue before the servers of a pool.
+#[derive(Debug)]
+pub struct Ticket {
+    pool: Arc<Pool<Ticket>>,
+    signal: oneshot::Sender<Lease>,
+}
+
+impl Waiter for Ticket {
+    fn grant(self, server: Arc<Server>) -> Result<(), Arc<Server>> {
+        let lease = Lease::new(self.pool, server);
+        match self.signal.send(lease) {
+            Ok(()) => Ok(()),
+            // Taken out so that the drop of the lease does not give the slot back as well.
+            Err(mut lease) => lease.server.take().map_or(Ok(()), Err),
+        }
+    }
+}
+
+/// Takes a slot, waiting for at most `limit`.
+pub async fn acquire(pool: &Arc<Pool<Ticket>>, limit: Duration) -> Result<Lease, Refusal> {
+    if let Some(server) = pool.try_acquire() {
+        return Ok(Lease::new(Arc::clone(pool), server));
+    }
+    if pool.servers().iter().all(|server| server.is_leaving()) {
+        return Err(Refusal::NoServer);
+    }
+    let (signal, granted) = oneshot::channel();
+    pool.enqueue(Ticket { pool: Arc::clone(pool), signal });
+    match tokio::time::timeout(limit, granted).await {
+        Ok(Ok(lease)) => Ok(lease),
+        _ => Err(Refusal::Overloaded),
+    }
+}
+
+/// Takes a slot of another server than `not` if one is free now.
+pub fn try_acquire_other(pool: &Arc<Pool<Ticket>>, not: &Server) -> Option<Lease> {
+    let server = pool.try_acquire_other(not)?;
+    Some(Lease::new(Arc::clone(pool), server))
+}
--- /dev/null
+++ b/crates/node/src/entry/state.rs
@@ -0,0 +1,117 @@
+//! What the tasks of the entry daemon share.
+
+use std::{io, sync::Arc};
+
+use arc_swap::ArcSwapOption;
+use cadence::StatsdClient;
+use oleanderspan::{entry, snapshot};
+use slog::Logger;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock::Monotonic,
+    entry::slot,
+    http::client::{Client, Protocol},
+    metrics,
+    settings::Settings,
+    wire,
+};
+
+/// The snapshot that requests of this daemon read.
+pub type Snapshot = snapshot::Snapshot<slot::Ticket>;
+
+/// Observations that may wait for the control daemon; more are dropped, as it will see the
+/// same signs again.
+const QUEUE_OBSERVATIONS: usize = 1024;
+
+/// What the tasks share; cloning it is cheap.
+#[derive(Clone, Debug)]
+pub struct State(Arc<Shared>);
+
+/// The one copy behind every [`State`].
+#[derive(Debug)]
+pub struct Shared {
+    /// The name of this host.
+    pub name: entry::Name,
+    /// The clock of deadlines.
+    pub clock: Monotonic,
+    /// Connections to backend servers.
+    pub servers: Client,
+    /// Connections to other entry daemons.
+    pub peers: Client,
+    /// Connections to the own control daemon.
+    pub control: Client,
+    /// The log.
+    pub log: Logger,
+    /// The metrics.
+    pub metrics: Arc<StatsdClient>,
+    snapshot: ArcSwapOption<Snapshot>,
+    observed: mpsc::Sender<wire::Observation>,
+    observations: tokio::sync::Mutex<mpsc::Receiver<wire::Observation>>,
+    closed: CancellationToken,
+}
+
+impl std::ops::Deref for State {
+    type Target = Shared;
+
+    fn deref(&self) -> &Shared {
+        &self.0
+    }
+}
+
+impl State {
+    /// The state of a daemon that has no snapshot yet.
+    pub fn start(settings: &Settings, log: Logger) -> io::Result<State> {
+        let (observed, observations) = mpsc::channel(QUEUE_OBSERVATIONS);
+        Ok(State(Arc::new(Shared {
+            name: settings.host.name.clone(),
+            clock: Monotonic::start(),
+            servers: Client::new(Protocol::Http1),
+            peers: Client::new(Protocol::Http2),
+            control: Client::new(Protocol::Http2),
+            metrics: metrics::start(settings.metrics.as_ref())?,
+            log,
+            snapshot: ArcSwapOption::empty(),
+            observed,
+            observations: tokio::sync::Mutex::new(observations),
+            closed: CancellationToken::new(),
+        })))
+    }
+
+    /// Closes the caller port once `stop` was asked for.
+    pub async fn drain_after(&self, stop: CancellationToken) {
+        let closed = self.closed.clone();
+        tokio::spawn(async move {
+            stop.cancelled().await;
+            closed.cancel();
+        });
+    }
+
+    /// Cancelled when the caller port shall close.
+    pub fn closed(&self) -> CancellationToken {
+        self.closed.clone()
+    }
+}
+
+impl Shared {
+    /// The snapshot in force, or `None` before the first one came.
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.snapshot.load_full()
+    }
+
+    /// Puts a snapshot into force.
+    pub fn publish(&self, snapshot: Snapshot) {
+        self.snapshot.store(Some(Arc::new(snapshot)));
+    }
+
+    /// Tells the control daemon what was seen.
+    pub fn observe(&self, observation: wire::Observation) {
+        let _ = self.observed.try_send(observation);
+    }
+
+    /// The next observation for the control daemon.
+    pub async fn next_observation(&self) -> Option<wire::Observation> {
+        self.observations.lock().await.recv().await
+    }
+}
--- /dev/null
+++ b/crates/node/src/http.rs
@@ -0,0 +1,8 @@
+//! HTTP by `hyper-util`: the server, the client and the bodies of both.
+
+pub mod body;
+pub mod client;
+pub mod header;
+pub mod server;
+
+pub use body::Body;
--- /dev/null
+++ b/crates/node/src/http/client.rs
@@ -0,0 +1,106 @@
+//! The HTTP client towards backend servers, other hosts and the platform.
+
+use std::fmt;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use oleanderspan::prelude::*;
+
+use crate::http::Body;
+
+/// Longest time to set up a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The largest answer that [`Client::call`] reads.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// A pool of connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Body>,
+}
+
+/// What the other side speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// HTTP/1.1: one request at a time on a connection, so that ending one cancels the request.
+    Http1,
+    /// HTTP/2 without negotiation, as our own hosts speak it to each other.
+    Http2,
+}
+
+impl Client {
+    /// A client with no connections yet.
+    pub fn new(protocol: Protocol) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let mut builder = legacy::Client::builder(TokioExecutor::new());
+        builder.pool_timer(TokioTimer::new()).timer(TokioTimer::new());
+        builder.pool_idle_timeout(IDLE_TIMEOUT);
+        builder.http2_only(protocol == Protocol::Http2);
+        Client { inner: builder.build(connector) }
+    }
+
+    /// Sends a request and returns the answer's head; its body follows as a stream.
+    pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, Error> {
+        self.inner.request(request).await.map_err(Error::from)
+    }
+
+    /// Sends a request and reads the whole answer within `limit`.
+    pub async fn call(
+        &self,
+        request: Request<Body>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let whole = async {
+            let (head, body) = self.send(request).await?.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+            let body = body.map_err(|error| Error::Broken(error.to_string()))?;
+            Ok((head.status, body.to_bytes()))
+        };
+        tokio::time::timeout(limit, whole).await.unwrap_or(Err(Error::TimedOut))
+    }
+}
+
+/// Why a request got no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// No connection could be set up, so nothing was sent.
+    Connect(String),
+    /// The connection broke; the request may have been received.
+    Broken(String),
+    /// The time limit passed; the request may have been received.
+    TimedOut,
+}
+
+impl From<legacy::Error> for Error {
+    fn from(error: legacy::Error) -> Error {
+        let reason = match std::error::Error::source(&error) {
+            Some(source) => format!("{error}: {source}"),
+            None => error.to_string(),
+        };
+        if error.is_connect() { Error::Connect(reason) } else { Error::Broken(reason) }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Connect(reason) => write!(f, "cannot connect: {reason}"),
+            Error::Broken(reason) => write!(f, "the connection broke: {reason}"),
+            Error::TimedOut => f.write_str("no answer within the time limit"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/node/src/http/header.rs
@@ -0,0 +1,69 @@
+//! Header names of our own, and the headers that end at each hop.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+
+/// What is known about the effect of a request: `done`, `not-run` or `unknown`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("oleanderspan-outcome");
+/// The code of a refusal.
+pub const REFUSAL: HeaderName = HeaderName::from_static("oleanderspan-refusal");
+/// Set by a backend server that is leaving, on any answer.
+pub const LEAVING: HeaderName = HeaderName::from_static("oleanderspan-leaving");
+/// The time left for a request, in milliseconds.
+pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("oleanderspan-timeout-ms");
+/// The identity of a request, equal on every hop.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// The key that a caller gave a request that must run at most once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// On a relay: the service.
+pub const SERVICE: HeaderName = HeaderName::from_static("oleanderspan-service");
+/// On a relay: the region that shall serve the request.
+pub const REGION: HeaderName = HeaderName::from_static("oleanderspan-region");
+/// On a relay: `harmless` or `forbidden`.
+pub const REPEAT: HeaderName = HeaderName::from_static("oleanderspan-repeat");
+
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes the headers that belong to one connection, also those that `Connection` names.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that only our own hosts may set.
+pub fn strip_internal(headers: &mut HeaderMap) {
+    for name in [SERVICE, REGION, REPEAT, OUTCOME, REFUSAL, LEAVING] {
+        headers.remove(name);
+    }
+}
+
+/// A header as text, if it is there and is text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A header as a number.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+/// A value made of checked text; text that no header may hold becomes empty.
+pub fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or(const { HeaderValue::from_static("") })
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,16 @@
+//! The daemons of oleanderspan: settings, codecs, HTTP, the store client and the run loops.
+//!
+//! Decisions live in the `oleanderspan` library; this crate turns bytes into its checked types
+//! and its answers into bytes. See `docs/DESIGN.md`.
+
+pub mod clock;
+pub mod codec;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod http;
+pub mod log;
+pub mod metrics;
+pub mod settings;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,23 @@
+//! Metrics over UDP; `docs/operators/metrics.md` lists names and units.
+
+use std::{io, net::UdpSocket, sync::Arc};
+
+use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+
+use crate::settings;
+
+/// Datagrams that may wait to be sent; more are dropped.
+const QUEUE_DATAGRAMS: usize = 4096;
+
+/// Makes the client of a process; without settings it sends nothing.
+pub fn start(settings: Option<&settings::metrics::Metrics>) -> io::Result<Arc<StatsdClient>> {
+    let Some(settings) = settings else {
+        return Ok(Arc::new(StatsdClient::from_sink("oleanderspan", NopMetricSink)));
+    };
+    let any = if settings.address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let socket = UdpSocket::bind(any)?;
+    socket.set_nonblocking(true)?;
+    let datagrams = UdpMetricSink::from(settings.address, socket).map_err(io::Error::other)?;
+    let queued = QueuingMetricSink::with_capacity(datagrams, QUEUE_DATAGRAMS);
+    Ok(Arc::new(StatsdClient::from_sink(&settings.prefix, queued)))
+}
--- /dev/null
+++ b/crates/node/src/settings/platform.rs
@@ -0,0 +1,33 @@
+//! The `platform` section: the table, the objects and the list of servers.
+
+use std::net::SocketAddr;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use super::Error;
+
+/// The `platform` section.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Where the platform's service listens.
+    #[schemars(with = "String")]
+    pub address: SocketAddr,
+    /// Longest time to wait for an answer, in milliseconds.
+    #[serde(default = "default_timeout_ms")]
+    pub timeout_ms: u32,
+}
+
+const fn default_timeout_ms() -> u32 {
+    1_000
+}
+
+impl Platform {
+    pub(super) fn check(&self) -> Result<(), Error> {
+        if self.timeout_ms == 0 {
+            return Err(Error::new("platform.timeout_ms", "0 is under 1"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/oleanderspan/src/backend.rs
@@ -0,0 +1,12 @@
+//! Backend servers: their state, their slots, and the queue before them.
+
+pub mod pool;
+pub mod server;
+
+pub use pool::{Pool, Waiter};
+pub use server::Server;
+
+checked_name! {
+    /// The name of a backend server.
+    pub struct Name;
+}
--- /dev/null
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -0,0 +1,146 @@
+//! The servers of one service in one region, and the queue of requests before them.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use arc_swap::ArcSwap;
+use crossbeam_queue::SegQueue;
+
+use crate::{backend::Server, prelude::*, region::Gate};
+
+/// Someone who waits for a slot.
+pub trait Waiter {
+    /// Hands over a server that has a slot taken, or returns it if nobody waits any more.
+    fn grant(self, server: Arc<Server>) -> Result<(), Arc<Server>>;
+}
+
+/// Failed attempts in a row after which a server is chosen only if no other has a free slot.
+const SUSPECT_FAILURES: u32 = 3;
+
+/// Dispatches requests to servers, first come first served.
+///
+/// A slot is taken before a waiter is taken from the queue, and the queue is looked at again
+/// after every return of a slot, so no waiter is left behind while a slot is free. Nothing here
+/// takes a lock: the queue and all counts are atomics, and a waiter sleeps on its own signal.
+#[derive(Debug)]
+pub struct Pool<W> {
+    servers: ArcSwap<Vec<Arc<Server>>>,
+    gate: Gate,
+    queue: SegQueue<W>,
+    turn: AtomicU32,
+}
+
+impl<W: Waiter> Pool<W> {
+    /// A pool with no servers.
+    pub fn new() -> Pool<W> {
+        Pool {
+            servers: ArcSwap::default(),
+            gate: Gate::new(0),
+            queue: SegQueue::new(),
+            turn: AtomicU32::new(0),
+        }
+    }
+
+    /// Replaces the servers and the ceiling; servers that stay keep their counts.
+    pub fn update(&self, servers: Vec<Arc<Server>>, ceiling: u32) {
+        self.servers.store(Arc::new(servers));
+        self.gate.set_ceiling(ceiling);
+        self.pump();
+    }
+
+    /// The servers in force.
+    pub fn servers(&self) -> Arc<Vec<Arc<Server>>> {
+        self.servers.load_full()
+    }
+
+    /// The count of requests in flight.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Requests that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes a slot at once if nobody waits before.
+    pub fn try_acquire(&self) -> Option<Arc<Server>> {
+        if self.queue.is_empty() { self.take() } else { None }
+    }
+
+    /// Takes a slot on a server other than `not`, for a retry or a hedge.
+    pub fn try_acquire_other(&self, not: &Server) -> Option<Arc<Server>> {
+        if !self.queue.is_empty() {
+            return None;
+        }
+        self.take_where(|server| !std::ptr::eq(server, not))
+    }
+
+    /// Queues a waiter, who is granted the first free slot.
+    pub fn enqueue(&self, waiter: W) {
+        self.queue.push(waiter);
+        self.pump();
+    }
+
+    /// Gives a slot back and hands it to the next waiter.
+    pub fn release(&self, server: &Server) {
+        server.give_back();
+        self.gate.leave();
+        self.pump();
+    }
+
+    fn pump(&self) {
+        while !self.queue.is_empty() {
+            let Some(server) = self.take() else { return };
+            let granted = match self.queue.pop() {
+                Some(waiter) => waiter.grant(server),
+                None => Err(server),
+            };
+            if let Err(server) = granted {
+                server.give_back();
+                self.gate.leave();
+            }
+        }
+    }
+
+    fn take(&self) -> Option<Arc<Server>> {
+        self.take_where(|_| true)
+    }
+
+    fn take_where(&self, usable: impl Fn(&Server) -> bool) -> Option<Arc<Server>> {
+        if !self.gate.try_enter() {
+            return None;
+        }
+        let servers = self.servers.load();
+        // A lost race for the last slot of a server means that another request got it, so the
+        // loop ends after at most as many rounds as there are slots.
+        while let Some(server) = self.best(&servers, &usable) {
+            if server.try_take() {
+                return Some(Arc::clone(server));
+            }
+        }
+        self.gate.leave();
+        None
+    }
+
+    /// The server with the most free slots; among equals the turn decides.
+    fn best<'a>(
+        &self,
+        servers: &'a [Arc<Server>],
+        usable: impl Fn(&Server) -> bool,
+    ) -> Option<&'a Arc<Server>> {
+        if servers.is_empty() {
+            return None;
+        }
+        let start = self.turn.fetch_add(1, Ordering::Relaxed) as usize % servers.len();
+        let (behind, ahead) = servers.split_at(start);
+        let candidates = ahead.iter().chain(behind).filter(|server| usable(server));
+        let free = candidates.filter(|server| server.free() > 0);
+        free.max_by_key(|server| (server.failures() < SUSPECT_FAILURES, server.free()))
+    }
+}
+
+impl<W: Waiter> Default for Pool<W> {
+    fn default() -> Pool<W> {
+        Pool::new()
+    }
+}
--- /dev/null
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -0,0 +1,124 @@
+//! One backend server as a dispatching host sees it.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+
+use crate::{availability, backend, prelude::*};
+
+value! {
+    /// Which start of which server: a server that comes back is a new one.
+    #[derive(PartialOrd, Ord, Hash)]
+    pub struct Identity {
+        /// Its name.
+        pub name: backend::Name,
+        /// Its latest start, as the platform's list counts them.
+        pub incarnation: u64,
+    }
+}
+
+/// The weight of a new sample in the moving average of latency, as a divisor.
+const SAMPLE_DIVISOR: u64 = 8;
+
+/// A backend server, with the counts that requests change.
+///
+/// The counts stay with the server over snapshots, so they are shared by reference.
+#[derive(Debug)]
+pub struct Server {
+    /// Which server this is.
+    pub identity: Identity,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The zone it is in.
+    pub zone: availability::Index,
+    slots: u32,
+    in_flight: AtomicU32,
+    leaving: AtomicBool,
+    latency_nanos: AtomicU64,
+    failures: AtomicU32,
+}
+
+impl Server {
+    /// A server that has `slots` slots and has answered nothing yet.
+    pub fn new(
+        identity: Identity,
+        address: SocketAddr,
+        zone: availability::Index,
+        slots: u32,
+    ) -> Server {
+        Server {
+            identity,
+            address,
+            zone,
+            slots,
+            in_flight: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            latency_nanos: AtomicU64::new(0),
+            failures: AtomicU32::new(0),
+        }
+    }
+
+    /// Takes a slot, or returns `false` if none is free or the server is leaving.
+    pub fn try_take(&self) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
+        self.in_flight
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| (n < self.slots).then_some(n + 1))
+            .is_ok()
+    }
+
+    /// Gives a slot back.
+    pub fn give_back(&self) {
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    /// Requests of this host that the server is running.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Slots that are free by this host's own count.
+    pub fn free(&self) -> u32 {
+        if self.is_leaving() { 0 } else { self.slots.saturating_sub(self.in_flight()) }
+    }
+
+    /// Slots in all.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Marks the server as leaving; the mark holds for this incarnation.
+    pub fn mark_leaving(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether any sign of leaving was seen.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Takes the latency of an answer into the moving average.
+    pub fn observe(&self, latency: Duration) {
+        self.failures.store(0, Ordering::Relaxed);
+        let sample = u64::try_from(latency.as_nanos()).unwrap_or(u64::MAX);
+        let mix = |old: u64| match old {
+            0 => Some(sample),
+            old => Some(old - old / SAMPLE_DIVISOR + sample / SAMPLE_DIVISOR),
+        };
+        let _ = self.latency_nanos.fetch_update(Ordering::Relaxed, Ordering::Relaxed, mix);
+    }
+
+    /// Counts a failed attempt.
+    pub fn observe_failure(&self) {
+        self.failures.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Failed attempts since the last answer.
+    pub fn failures(&self) -> u32 {
+        self.failures.load(Ordering::Relaxed)
+    }
+
+    /// The moving average of latency.
+    pub fn latency(&self) -> Duration {
+        Duration::from_nanos(self.latency_nanos.load(Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/crates/oleanderspan/src/entry.rs
@@ -0,0 +1,13 @@
+//! Entry hosts: who they are, which of them callers should use, and which of them dispatches.
+
+pub mod host;
+pub mod locate;
+pub mod rank;
+
+pub use host::Host;
+pub use locate::{Answer, Policy};
+
+checked_name! {
+    /// The name of an entry host.
+    pub struct Name;
+}
--- /dev/null
+++ b/crates/oleanderspan/src/region/budget.rs
@@ -0,0 +1,42 @@
+//! The byte budget of a link between two regions.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::prelude::*;
+
+/// Longest time of unused budget that may be spent at once.
+const BURST: Duration = Duration::from_millis(250);
+
+/// A token bucket of bytes that refills with time, kept as the time up to which it is spent.
+///
+/// One atomic holds the whole state, so that spending takes neither a lock nor a timer.
+#[derive(Debug)]
+pub struct Budget {
+    nanos_per_kib: u64,
+    spent_until: AtomicU64,
+}
+
+impl Budget {
+    /// A bucket that refills at `bytes_per_second`; zero means that nothing may pass.
+    pub fn new(bytes_per_second: u64) -> Budget {
+        let nanos_per_kib = match bytes_per_second {
+            0 => u64::MAX,
+            rate => 1024 * 1_000_000_000 / rate,
+        };
+        Budget { nanos_per_kib, spent_until: AtomicU64::new(0) }
+    }
+
+    /// Spends `bytes`, or returns how long to wait before asking again.
+    pub fn try_spend(&self, bytes: u64, now: Instant) -> Result<(), Duration> {
+        let cost = (bytes.saturating_mul(self.nanos_per_kib)) / 1024;
+        let floor = (now - BURST).as_nanos();
+        let spend = |until: u64| {
+            let start = until.max(floor);
+            (start <= now.as_nanos()).then(|| start.saturating_add(cost))
+        };
+        match self.spent_until.fetch_update(Ordering::AcqRel, Ordering::Acquire, spend) {
+            Ok(_) => Ok(()),
+            Err(until) => Err(Instant::from_nanos(until).since(now)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderspan/src/request/retry.rs
@@ -0,0 +1,48 @@
+//! The budget of retries and hedges, so that a failure is not multiplied by them.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+use crate::{prelude::*, region::Percent};
+
+/// Credit of one extra attempt.
+const ATTEMPT: i64 = 100;
+
+/// The most extra attempts that may be saved up.
+const MAX_SAVED: i64 = 10 * ATTEMPT;
+
+/// Allows extra attempts as a share of first attempts.
+#[derive(Debug)]
+pub struct Budget {
+    share: i64,
+    credit: AtomicI64,
+}
+
+impl Budget {
+    /// A budget of `share` extra attempts for each first attempt.
+    pub fn new(share: Percent) -> Budget {
+        Budget { share: i64::from(share.get()), credit: AtomicI64::new(ATTEMPT) }
+    }
+
+    /// Counts a first attempt.
+    pub fn earn(&self) {
+        let earn = |credit: i64| Some((credit + self.share).min(MAX_SAVED));
+        let _ = self.credit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, earn);
+    }
+
+    /// Takes one extra attempt, or returns `false` if the budget is spent.
+    pub fn try_spend(&self) -> bool {
+        let spend = |credit: i64| (credit >= ATTEMPT).then_some(credit - ATTEMPT);
+        self.credit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, spend).is_ok()
+    }
+}
+
+/// The point after which an attempt must not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deadline(pub Instant);
+
+impl Deadline {
+    /// The time left, or `None` if the deadline has passed.
+    pub fn left(self, now: Instant) -> Option<Duration> {
+        (now < self.0).then(|| self.0.since(now))
+    }
+}
--- /dev/null
+++ b/crates/oleanderspan/tests/caller_index.rs
@@ -0,0 +1,61 @@
+//! The index of blocks agrees with a plain search for the longest prefix.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use oleanderspan::caller::{
+    Block, Index, SiteIndex,
+    block::{Prefix, mapped},
+};
+use proptest::prelude::*;
+
+fn plain(blocks: &[Block], address: IpAddr) -> Option<SiteIndex> {
+    let bits = mapped(address);
+    let holding = |block: &&Block| block.prefix.first() <= bits && bits <= block.prefix.last();
+    let longest = blocks.iter().filter(holding).max_by_key(|block| block.prefix.length());
+    longest.map(|block| block.site)
+}
+
+fn prefix() -> impl Strategy<Value = Prefix> {
+    // Few distinct bits, so that blocks nest and touch often.
+    (0u32..64, 3u8..=32).prop_map(|(high, length)| {
+        let bits = (high << 26) & u32::MAX.checked_shl(32 - u32::from(length)).unwrap_or(0);
+        let text = format!("{}/{length}", Ipv4Addr::from_bits(bits));
+        Prefix::try_from(text.as_str()).unwrap()
+    })
+}
+
+proptest! {
+    #[test]
+    fn the_longest_prefix_wins(
+        prefixes in prop::collection::btree_set(prefix(), 0..24),
+        addresses in prop::collection::vec(any::<u32>(), 32),
+    ) {
+        let blocks: Vec<Block> = (0u16..).zip(prefixes)
+            .map(|(site, prefix)| Block { prefix, site: SiteIndex(site) })
+            .collect();
+        let index = Index::new(&blocks);
+        for bits in addresses {
+            let address = IpAddr::V4(Ipv4Addr::from_bits(bits));
+            prop_assert_eq!(index.site(address), plain(&blocks, address));
+        }
+    }
+}
+
+#[test]
+fn version_6_blocks_are_found() {
+    let block =
+        |text: &str, site| Block { prefix: Prefix::try_from(text).unwrap(), site: SiteIndex(site) };
+    let index = Index::new(&[block("2001:db8::/32", 1), block("2001:db8:1::/48", 2)]);
+    assert_eq!(index.site("2001:db8::1".parse().unwrap()), Some(SiteIndex(1)));
+    assert_eq!(index.site("2001:db8:1::1".parse().unwrap()), Some(SiteIndex(2)));
+    assert_eq!(index.site("2001:db9::1".parse().unwrap()), None);
+}
+
+#[test]
+fn prefixes_with_host_bits_are_refused() {
+    for bad in ["10.0.0.1/8", "10.0.0.0", "10.0.0.0/33", "x/8", "::1/64", "10.0.0.0/-1"] {
+        assert!(Prefix::try_from(bad).is_err(), "{bad} was accepted");
+    }
+}
--- /dev/null
+++ b/crates/oleanderspan/tests/shift.rs
@@ -0,0 +1,84 @@
+//! Shares keep to their caps and small counts keep to the shares.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::time::Duration;
+
+use oleanderspan::{
+    clock::Instant,
+    region::Percent,
+    shift::{Cap, Diffuser, Slew, Vector, WHOLE_PPM, slew::Permit},
+};
+use proptest::prelude::*;
+
+fn vector() -> impl Strategy<Value = Vector> {
+    prop::collection::vec(0u32..1_000, 4).prop_map(|weights| {
+        let sum: u32 = weights.iter().sum::<u32>().max(1);
+        let mut shares: Vec<u32> = weights
+            .iter()
+            .map(|weight| (u64::from(*weight) * u64::from(WHOLE_PPM) / u64::from(sum)) as u32)
+            .collect();
+        shares[0] += WHOLE_PPM - shares.iter().sum::<u32>();
+        Vector::try_from(shares).unwrap()
+    })
+}
+
+proptest! {
+    #[test]
+    fn a_shift_never_rises_faster_than_its_cap(
+        from in vector(),
+        targets in prop::collection::vec(vector(), 1..4),
+        steps in prop::collection::vec(1u64..5_000, 1..200),
+        percent in 1u8..=100,
+    ) {
+        let window = Duration::from_secs(10);
+        let cap = Cap::new(Percent::try_from(percent).unwrap(), window).unwrap();
+        let mut now = Instant::ZERO;
+        let mut slew = Slew::new(from, now);
+        let mut history = vec![(now, slew.shares().clone())];
+        for (i, step) in steps.iter().enumerate() {
+            now = now + Duration::from_millis(*step);
+            slew.advance(&targets[i % targets.len()], &cap, Permit::Go, now);
+            history.push((now, slew.shares().clone()));
+        }
+        for (i, (start, first)) in history.iter().enumerate() {
+            for (end, last) in &history[i..] {
+                if end.since(*start) <= window {
+                    prop_assert!(first.greatest_rise(last) <= cap.rise_ppm);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn small_counts_keep_to_the_shares(shares in vector(), requests in 1usize..300) {
+        let diffuser = Diffuser::new(4);
+        let mut counts = [0u32; 4];
+        for _ in 0..requests {
+            counts[usize::from(diffuser.next(&shares).0)] += 1;
+        }
+        for (count, share) in counts.iter().zip(shares.shares()) {
+            let wanted = requests as f64 * f64::from(*share) / f64::from(WHOLE_PPM);
+            prop_assert!((f64::from(*count) - wanted).abs() < 2.0, "{count} for {wanted}");
+        }
+    }
+}
+
+#[test]
+fn a_shift_reaches_its_target_and_waits_when_told() {
+    let cap = Cap::new(Percent::try_from(10).unwrap(), Duration::from_secs(10)).unwrap();
+    let from = Vector::try_from(vec![WHOLE_PPM, 0]).unwrap();
+    let target = Vector::try_from(vec![0, WHOLE_PPM]).unwrap();
+    let mut slew = Slew::new(from.clone(), Instant::ZERO);
+    let mut now = Instant::ZERO;
+    for _ in 0..100 {
+        now = now + Duration::from_millis(250);
+        slew.advance(&target, &cap, Permit::Wait, now);
+    }
+    assert_eq!(slew.shares(), &from);
+    for _ in 0..600 {
+        now = now + Duration::from_millis(250);
+        slew.advance(&target, &cap, Permit::Go, now);
+    }
+    assert_eq!(slew.shares(), &target);
+}
