Reserve the ports of process tests

Cause: fixed ports make two runs of the same test on one machine fail. Change: a run marks its ports as taken with a datagram socket and takes the next free ones. Conclusion: runs in several checkouts go side by side.

--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     env, fs,
-    net::SocketAddr,
+    net::{SocketAddr, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
     time::{Duration, Instant},
@@ -30,6 +30,12 @@
 /// Longest time for a deployment to come up, or for a condition to hold.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// The first ports of all runs; they stay below those that the kernel gives to clients.
+const BASES: std::ops::Range<u16> = 20_000..32_000;
+
+/// Ports of one run.
+const PORTS_PER_RUN: u16 = 600;
+
 /// A deployment that runs until it is dropped.
 pub struct Bench {
     pub deployment: &'static Deployment,
@@ -39,6 +45,7 @@
     platform: Child,
     fleet: Child,
     hosts: Vec<Host>,
+    _reservation: UdpSocket,
 }
 
 struct Host {
@@ -69,9 +76,9 @@
 }
 
 impl Bench {
-    /// Starts all processes; `base_port` keeps tests that run at once apart.
-    pub fn start(name: &str, deployment: &'static Deployment, base_port: u16) -> Bench {
-        let ports = Ports { base: base_port };
+    /// Starts all processes on ports that no other test uses.
+    pub fn start(name: &str, deployment: &'static Deployment) -> Bench {
+        let (ports, reservation) = reserve_ports();
         let folder = env::temp_dir().join(format!("oleanderspan-{name}-{}", std::process::id()));
         sample::write(deployment, ports, Duration::from_millis(20), &folder).unwrap();
         let platform = launch(
@@ -95,6 +102,7 @@
             platform,
             fleet,
             hosts: hosts.collect(),
+            _reservation: reservation,
         };
         for host in 1..=bench.count() {
             bench.launch(host, Daemon::Control);
@@ -285,6 +293,13 @@
     }
 }
 
+/// Finds ports that no other run on this machine uses; a datagram socket marks them as taken.
+fn reserve_ports() -> (Ports, UdpSocket) {
+    let mut bases = BASES.step_by(usize::from(PORTS_PER_RUN));
+    let reserve = |base| Some((Ports { base }, UdpSocket::bind(("127.0.0.1", base)).ok()?));
+    bases.find_map(reserve).expect("no ports are free")
+}
+
 /// The path of a binary of the workspace, built beside the test.
 pub fn binary(name: &str) -> PathBuf {
     let test = env::current_exe().unwrap();
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -9,8 +9,8 @@
 use http::{Request, StatusCode};
 use oleanderspan_lab::deployment::{BUREAU, CUPRUL, Deployment};
 
-async fn serves_from_end_to_end(deployment: &'static Deployment, base_port: u16) {
-    let bench = Bench::start(&format!("path-{}", deployment.name), deployment, base_port);
+async fn serves_from_end_to_end(deployment: &'static Deployment) {
+    let bench = Bench::start(&format!("path-{}", deployment.name), deployment);
     bench.install().await;
 
     let locate = "/.well-known/oleanderspan/locate?address=127.1.0.9";
@@ -41,10 +41,10 @@
 
 #[tokio::test]
 async fn cuprul_is_served_from_end_to_end() {
-    serves_from_end_to_end(&CUPRUL, 20_000).await;
+    serves_from_end_to_end(&CUPRUL).await;
 }
 
 #[tokio::test]
 async fn bureau_is_served_from_end_to_end() {
-    serves_from_end_to_end(&BUREAU, 20_700).await;
+    serves_from_end_to_end(&BUREAU).await;
 }
