--- a/crates/oleanderspan/src/caller/index.rs
+++ b/crates/oleanderspan/src/caller/index.rs
@@ -42,13 +42,16 @@
         let mut sorted: Vec<&Block> = blocks.iter().collect();
         sorted.sort_by_key(|block| (block.prefix.first(), block.prefix.length()));
         let ranges = flatten(&sorted);
-        let is_v4 = |start: u128| (V4_FIRST..=V4_LAST).contains(&start);
-        let v4 = ranges.iter().filter(|(start, _)| is_v4(*start));
-        // A block of mapped addresses shorter than /96 starts before the first of them.
-        let before_v4 = ranges.iter().rev().find(|(start, _)| *start < V4_FIRST);
-        let lead = before_v4.map(|(_, site)| (0u32, *site));
-        let v4 = lead.into_iter().chain(v4.map(|(start, site)| (*start as u32, *site)));
-        Index { v4: Ranges::new(v4), v6: Ranges::new(ranges.iter().copied()) }
+        let v4_from = ranges.partition_point(|(start, _)| *start < V4_FIRST);
+        let v4_to = ranges.partition_point(|(start, _)| *start <= V4_LAST);
+        let (before, v4, behind) = (&ranges[..v4_from], &ranges[v4_from..v4_to], &ranges[v4_to..]);
+        // A range that starts before the part of version 4 reaches into it, and the last one
+        // that starts in or before that part reaches behind it.
+        let into_v4 = before.last().map(|(_, site)| (0u32, *site));
+        let out_of_v4 = ranges[..v4_to].last().map(|(_, site)| (V4_LAST + 1, *site));
+        let v4 = v4.iter().map(|(start, site)| (*start as u32, *site));
+        let v6 = before.iter().copied().chain(out_of_v4).chain(behind.iter().copied());
+        Index { v4: Ranges::new(into_v4.into_iter().chain(v4)), v6: Ranges::new(v6) }
     }
 
     /// The site of a caller, if a block holds its address.
--- a/crates/oleanderspan/tests/caller_index.rs
+++ b/crates/oleanderspan/tests/caller_index.rs
@@ -59,3 +59,32 @@
         assert!(Prefix::try_from(bad).is_err(), "{bad} was accepted");
     }
 }
+
+proptest! {
+    #[test]
+    fn version_6_blocks_around_version_4_agree_with_a_plain_search(
+        lengths in prop::collection::btree_set(80u8..=128, 0..8),
+        offsets in prop::collection::vec(-4i64..=4, 8),
+    ) {
+        // Blocks that start at, before and behind the mapped part, where both tables meet.
+        let starts = [0xfffe_0000_0000_u128, 0xffff_0000_0000, 0x1_0000_0000_0000];
+        let prefixes: std::collections::BTreeSet<Prefix> = lengths
+            .iter()
+            .flat_map(|length| starts.map(|start| (start, *length)))
+            .filter_map(|(start, length)| {
+                let text = format!("{}/{length}", std::net::Ipv6Addr::from_bits(start));
+                Prefix::try_from(text.as_str()).ok()
+            })
+            .collect();
+        let blocks: Vec<Block> = (0u16..).zip(prefixes)
+            .map(|(site, prefix)| Block { prefix, site: SiteIndex(site) })
+            .collect();
+        let index = Index::new(&blocks);
+        for (start, offset) in starts.iter().flat_map(|s| offsets.iter().map(move |o| (s, o))) {
+            let address = IpAddr::V6(std::net::Ipv6Addr::from_bits(
+                start.wrapping_add_signed(i128::from(*offset)),
+            ));
+            prop_assert_eq!(index.site(address), plain(&blocks, address));
+        }
+    }
+}
