Count answers and refusals and tell servers whom a request is from

Cause: the entry daemon sent no metrics, and the authority of an HTTP/2 request was lost on the way to the backend server.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: the path of a request.
 
+pub mod counters;
 pub mod dispatch;
 pub mod feed;
 pub mod front;
@@ -27,6 +28,7 @@
     info!(log, "listening"; "callers" => %settings.entry.caller_address,
         "relays" => %settings.entry.relay_address);
     let state = State::start(&settings, log)?;
+    let counts = tokio::spawn(send_counts(state.clone()));
     let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
     // Other hosts relay to this one until they learn that it leaves, so the relay port stays
     // open until the callers of this host are served.
@@ -38,5 +40,16 @@
     relays_stop.cancel();
     let _ = relay.await;
     feed.abort();
+    counts.abort();
     Ok(())
 }
+
+async fn send_counts(state: State) {
+    let mut earlier = state.counters.read();
+    loop {
+        tokio::time::sleep(counters::INTERVAL).await;
+        let now = state.counters.read();
+        now.send_since(&earlier, &state.metrics);
+        earlier = now;
+    }
+}
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -64,6 +64,7 @@
         };
         let mut answer = answered.unwrap_or_else(|refusal| {
             debug!(self.0.log, "refused"; "request" => &id, "refusal" => refusal.as_str());
+            self.0.counters.count_refused(refusal);
             refusal::response(refusal, &id, None)
         });
         answer.headers_mut().insert(names::REQUEST_ID, names::value(&id));
@@ -108,8 +109,12 @@
         names::strip_hop_by_hop(&mut head.headers);
         names::strip_internal(&mut head.headers);
         head.headers.insert(names::REQUEST_ID, names::value(id));
+        forward_caller(&mut head, peer.ip());
+        let began = state.clock.now();
         let mut parcel = Parcel::streamed(head, body);
-        steer::steer(state, snapshot, call, &mut parcel).await
+        let answer = steer::steer(state, snapshot, call, &mut parcel).await?;
+        state.counters.count_done(state.clock.now().since(began));
+        Ok(answer)
     }
 }
 
@@ -121,6 +126,9 @@
     caller: IpAddr,
     now: Instant,
 ) -> Result<Call<'a>, Refusal> {
+    if head.method == Method::CONNECT {
+        return Err(Refusal::Malformed);
+    }
     let authority = authority(head).ok_or(Refusal::Malformed)?;
     let service = snapshot.service(&authority).ok_or(Refusal::NoService)?;
     let described = snapshot.described(service);
@@ -135,6 +143,21 @@
     Ok(Call { id, service, region, repeat, deadline })
 }
 
+/// Tells the backend server whom the request is from and whom it was addressed to.
+fn forward_caller(head: &mut request::Parts, caller: IpAddr) {
+    let before = names::text(&head.headers, &names::FORWARDED_FOR);
+    let path = match before {
+        Some(before) => format!("{before}, {caller}"),
+        None => caller.to_string(),
+    };
+    head.headers.insert(names::FORWARDED_FOR, names::value(&path));
+    // HTTP/2 carries the authority in the URI, which the next hop replaces.
+    if let Some(authority) = head.uri.authority() {
+        let host = names::value(authority.as_str());
+        head.headers.insert(header::HOST, host);
+    }
+}
+
 /// The authority without port, in lower case: of the URI in HTTP/2, of `Host` in HTTP/1.1.
 fn authority(head: &request::Parts) -> Option<String> {
     let named = head.uri.authority().map(|authority| authority.host());
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::Monotonic,
-    entry::slot,
+    entry::{counters::Counters, slot},
     http::client::{Client, Protocol},
     metrics,
     settings::Settings,
@@ -46,6 +46,8 @@
     pub log: Logger,
     /// The metrics.
     pub metrics: Arc<StatsdClient>,
+    /// What requests count.
+    pub counters: Counters,
     snapshot: ArcSwapOption<Snapshot>,
     observed: mpsc::Sender<wire::Observation>,
     observations: tokio::sync::Mutex<mpsc::Receiver<wire::Observation>>,
@@ -71,6 +73,7 @@
             peers: Client::new(Protocol::Http2),
             control: Client::new(Protocol::Http2),
             metrics: metrics::start(settings.metrics.as_ref())?,
+            counters: Counters::new(),
             log,
             snapshot: ArcSwapOption::empty(),
             observed,
--- a/crates/node/src/http/header.rs
+++ b/crates/node/src/http/header.rs
@@ -14,6 +14,8 @@
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// The key that a caller gave a request that must run at most once.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// The addresses that a request came through, the caller's first.
+pub const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 /// On a relay: the service.
 pub const SERVICE: HeaderName = HeaderName::from_static("oleanderspan-service");
 /// On a relay: the region that shall serve the request.
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -23,6 +23,9 @@
 /// The most requests at once on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 1024;
 
+/// How often an HTTP/2 client is asked whether it is still there.
+const PING_INTERVAL: Duration = Duration::from_secs(20);
+
 /// The wait after a failed accept, so that a lack of descriptors is not made worse.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -79,6 +82,7 @@
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
+        .keep_alive_interval(PING_INTERVAL)
         .max_header_list_size(MAX_HEAD_BYTES as u32);
     builder
 }
