Refuse answers that do not say where they end

Cause: an answer that only the end of its connection ends looks whole when the connection breaks; a test that cuts answers at every byte saw a caller get an empty 200 ("Close at byte 38: a cut answer ended cleanly").

Change: such an answer is refused as unframed, outcome unknown. The tests cut answers of three framings at every byte, mix late, cancelled and out-of-order answers, and time requests out before their answer comes.

Ruled out: answers with a length or in chunks, where hyper notices the cut. Conclusion: a cut answer never ends cleanly; servers must frame their answers.

--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -1,7 +1,7 @@
 //! The last hop: a slot of a backend server, the request, and what its answer proves.
 
-use http::Response;
-use hyper::body::Incoming;
+use http::{Response, header};
+use hyper::body::{Body as _, Incoming};
 use oleanderspan::{
     backend::Server,
     prelude::*,
@@ -122,10 +122,22 @@
     if names::text(answer.headers(), &names::OUTCOME) == Some(Outcome::NotRun.as_str()) {
         return Err(Refusal::Shed);
     }
+    if is_unframed(&answer) {
+        server.observe_failure();
+        return Err(Refusal::Unframed);
+    }
     server.observe(state.clock.now().since(sent_at));
     Ok(answer_of(answer, lease))
 }
 
+/// Whether only the end of the connection would end the body; a cut would look the same.
+fn is_unframed(answer: &Response<Incoming>) -> bool {
+    let body = answer.body();
+    !body.is_end_stream()
+        && body.size_hint().exact().is_none()
+        && !answer.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 fn note_leaving(state: &Shared, server: &Server, answer: &Response<Incoming>) {
     if !answer.headers().contains_key(names::LEAVING) || server.is_leaving() {
         return;
--- a/crates/oleanderspan/src/request/outcome.rs
+++ b/crates/oleanderspan/src/request/outcome.rs
@@ -95,11 +95,13 @@
     TimedOut,
     /// The connection broke after the request was sent.
     Broken,
+    /// The answer does not say where it ends, so that a cut could not be noticed.
+    Unframed,
 }
 
 impl Refusal {
     /// All refusals, for tables and tests.
-    pub const ALL: [Refusal; 17] = [
+    pub const ALL: [Refusal; 18] = [
         Refusal::NoService,
         Refusal::Malformed,
         Refusal::TooLarge,
@@ -117,6 +119,7 @@
         Refusal::NotReady,
         Refusal::TimedOut,
         Refusal::Broken,
+        Refusal::Unframed,
     ];
 
     /// The code in headers, bodies, logs and metrics.
@@ -139,13 +142,16 @@
             Refusal::NotReady => "not-ready",
             Refusal::TimedOut => "timed-out",
             Refusal::Broken => "broken",
+            Refusal::Unframed => "unframed",
         }
     }
 
     /// What the refusal proves about the request's effect.
     pub const fn outcome(self) -> Outcome {
         match self {
-            Refusal::Claimed | Refusal::TimedOut | Refusal::Broken => Outcome::Unknown,
+            Refusal::Claimed | Refusal::TimedOut | Refusal::Broken | Refusal::Unframed => {
+                Outcome::Unknown
+            }
             _ => Outcome::NotRun,
         }
     }
@@ -160,7 +166,7 @@
             Refusal::KeyReused => 422,
             Refusal::Misdirected => 421,
             Refusal::TimedOut => 504,
-            Refusal::Unreachable | Refusal::Broken => 502,
+            Refusal::Unreachable | Refusal::Broken | Refusal::Unframed => 502,
             _ => 503,
         }
     }
@@ -205,6 +211,7 @@
             Refusal::NotReady => "the host has not learned what is in force",
             Refusal::TimedOut => "the time limit passed after the request was sent",
             Refusal::Broken => "the connection broke after the request was sent",
+            Refusal::Unframed => "the answer of the backend server does not say where it ends",
         })
     }
 }
