Add a load tool and a demo, and keep small bodies to send them again

Cause: in the demo's first run 7 bookings ended with a broken connection and 8 as unreachable after the kill of a dispatching host. The body of a booking was streamed into the failed hop, so the request could not be sent to the next dispatcher although it had provably not run.

Ruled out: callers giving up early (reads, which have no body, all succeeded).

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -201,6 +201,25 @@
         }
     }
 
+    /// The document with a tenth of the first service's requests moved from the first region
+    /// to the second.
+    pub fn shifted(&self, environment: &str) -> raw::Document {
+        let mut document = self.document(environment);
+        let [from, to] = [0, 1].map(|i| self.regions[i].name.to_owned());
+        if let Some(service) = document.services.get_mut(self.services[0].name) {
+            let shares = BTreeMap::from([(from.clone(), 90), (to, 10)]);
+            service.routes.insert(from, shares);
+        }
+        document
+    }
+
+    /// `document` with the first backend server of the first service drained.
+    pub fn drained(&self, mut document: raw::Document) -> raw::Document {
+        let server = format!("{}-{}-1", self.services[0].name, self.regions[0].name);
+        document.drains.servers.push(server);
+        document
+    }
+
     fn service(&self, service: &Service) -> raw::Service {
         let instances = self.regions.iter().zip(service.instances);
         let read = |method: &str| raw::Pattern { method: method.to_owned(), path: "/".to_owned() };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod deployment;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod sample;
--- /dev/null
+++ b/crates/lab/src/load/audit.rs
@@ -0,0 +1,92 @@
+//! What servers ran, against what callers were told.
+
+use std::{collections::BTreeMap, fmt, io, time::Duration};
+
+use http::Request;
+use oleanderspan_node::{
+    codec,
+    http::{
+        Body,
+        client::{Client, Protocol},
+    },
+};
+
+use crate::{
+    deployment::{Deployment, Ports},
+    fleet::Ledger,
+    load::{caller::Ending, report::Report},
+};
+
+/// Longest time for a server to show its ledger.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Bookings whose runs do not agree with what their caller was told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Audit {
+    /// Bookings checked.
+    pub bookings: usize,
+    /// Bookings that ran more than once.
+    pub doubled: Vec<u64>,
+    /// Bookings that were said to be done and did not run.
+    pub lost: Vec<u64>,
+    /// Bookings that were said not to have run and did.
+    pub denied: Vec<u64>,
+}
+
+impl Audit {
+    /// Whether every booking ran as its caller was told.
+    pub fn is_clean(&self) -> bool {
+        self.doubled.is_empty() && self.lost.is_empty() && self.denied.is_empty()
+    }
+}
+
+impl fmt::Display for Audit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "bookings checked: {}; ran twice: {}; done but not run: {}; not-run but run: {}",
+            self.bookings,
+            self.doubled.len(),
+            self.lost.len(),
+            self.denied.len()
+        )
+    }
+}
+
+/// Compares the ledgers of all servers with the endings of bookings.
+pub async fn audit(deployment: &Deployment, ports: Ports, report: &Report) -> io::Result<Audit> {
+    let runs = runs(deployment, ports).await?;
+    let mut audit = Audit { bookings: report.bookings.len(), ..Audit::default() };
+    for (number, ending) in &report.bookings {
+        let ran = runs.get(number).copied().unwrap_or(0);
+        if ran > 1 {
+            audit.doubled.push(*number);
+        }
+        if ran == 0 && *ending == Ending::Done {
+            audit.lost.push(*number);
+        }
+        if ran > 0 && matches!(ending, Ending::NotRun(_)) {
+            audit.denied.push(*number);
+        }
+    }
+    Ok(audit)
+}
+
+/// How often each booking ran, by its number.
+async fn runs(deployment: &Deployment, ports: Ports) -> io::Result<BTreeMap<u64, u32>> {
+    let client = Client::new(Protocol::Http1);
+    let mut runs = BTreeMap::new();
+    for server in deployment.listed(ports) {
+        let uri = format!("http://{}/lab/ledger", server.address);
+        let request = Request::get(uri).body(Body::empty()).map_err(io::Error::other)?;
+        let (_, body) = client.call(request, LIMIT).await.map_err(io::Error::other)?;
+        let ledger: Ledger = codec::from_json(&body).map_err(io::Error::other)?;
+        for (key, count) in &ledger.runs {
+            let number = key.starts_with("load-").then(|| key.rsplit('-').next()).flatten();
+            if let Some(number) = number.and_then(|number| number.parse::<u64>().ok()) {
+                *runs.entry(number).or_default() += count;
+            }
+        }
+    }
+    Ok(runs)
+}
--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -18,6 +18,10 @@
         let file = folder.join(format!("{environment}.json"));
         write_json(&file, &deployment.document(environment))?;
     }
+    // What the demo changes: a shift, and then a drain beside it.
+    let shifted = deployment.shifted("production");
+    write_json(&folder.join("shift.json"), &shifted)?;
+    write_json(&folder.join("drain.json"), &deployment.drained(shifted))?;
     for (number, host) in (1u16..).zip(deployment.hosts()) {
         let file = folder.join("settings").join(format!("{}.json", host.name));
         write_json(&file, &deployment.settings(number, "production", ports))?;
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -111,7 +111,7 @@
         head.headers.insert(names::REQUEST_ID, names::value(id));
         forward_caller(&mut head, peer.ip());
         let began = state.clock.now();
-        let mut parcel = Parcel::streamed(head, body);
+        let mut parcel = Parcel::receive(head, body, call.left(began)?).await?;
         let answer = steer::steer(state, snapshot, call, &mut parcel).await?;
         state.counters.count_done(state.clock.now().since(began));
         Ok(answer)
--- a/crates/node/src/entry/parcel.rs
+++ b/crates/node/src/entry/parcel.rs
@@ -2,11 +2,15 @@
 
 use bytes::Bytes;
 use http::{Request, Uri, request};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use oleanderspan::prelude::*;
+use oleanderspan::{prelude::*, request::Refusal};
 
 use crate::http::Body;
 
+/// The largest body that is kept in memory to be sent again.
+const MAX_KEPT_BYTES: u64 = 64 << 10;
+
 /// A request on its way.
 #[derive(Debug)]
 pub struct Parcel {
@@ -23,13 +27,22 @@
 }
 
 impl Parcel {
-    /// A request whose body is passed on as it arrives; an empty one can be sent again.
-    pub fn streamed(head: request::Parts, body: Incoming) -> Parcel {
-        let payload = match body.is_end_stream() {
-            true => Payload::Memory(Bytes::new()),
-            false => Payload::Stream(body),
-        };
-        Parcel { head, payload }
+    /// Receives a request: a small body whole, so that it can be sent again after a hop that
+    /// failed, and a large one or one of unknown size as it arrives.
+    pub async fn receive(
+        head: request::Parts,
+        body: Incoming,
+        limit: Duration,
+    ) -> Result<Parcel, Refusal> {
+        let size = body.size_hint().exact();
+        if size.is_none_or(|size| size > MAX_KEPT_BYTES) {
+            return Ok(Parcel { head, payload: Payload::Stream(body) });
+        }
+        match tokio::time::timeout(limit, body.collect()).await {
+            Ok(Ok(whole)) => Ok(Parcel::buffered(head, whole.to_bytes())),
+            Ok(Err(_)) => Err(Refusal::Malformed),
+            Err(_) => Err(Refusal::Expired),
+        }
     }
 
     /// A request whose body is in memory.
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -1,6 +1,6 @@
 //! Requests that other entry daemons relay to this one, because it dispatches for them.
 
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, request};
 use hyper::body::Incoming;
 use oleanderspan::{
     prelude::*,
@@ -31,22 +31,29 @@
     async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Answer {
         let (head, body) = request.into_parts();
         let id = names::text(&head.headers, &names::REQUEST_ID).unwrap_or("-").to_owned();
-        let answer = self.dispatch(&id, Parcel::streamed(head, body)).await;
+        let answer = self.dispatch(&id, head, body).await;
         answer.unwrap_or_else(|refusal| refusal::response(refusal, &id, None))
     }
 }
 
 impl Relay {
-    async fn dispatch(&self, id: &str, mut parcel: Parcel) -> Result<Answer, Refusal> {
+    async fn dispatch(
+        &self,
+        id: &str,
+        mut head: request::Parts,
+        body: Incoming,
+    ) -> Result<Answer, Refusal> {
         let state = &self.0;
         let snapshot = state.snapshot().ok_or(Refusal::NotReady)?;
-        let call = call(&snapshot, id, &parcel.head().headers, state.clock.now())?;
+        let now = state.clock.now();
+        let call = call(&snapshot, id, &head.headers, now)?;
         let dispatcher = snapshot.dispatcher(call.service, call.region);
         if !dispatcher.is_some_and(|host| snapshot.is_own(host)) {
             return Err(Refusal::Misdirected);
         }
-        names::strip_hop_by_hop(&mut parcel.head_mut().headers);
-        names::strip_internal(&mut parcel.head_mut().headers);
+        names::strip_hop_by_hop(&mut head.headers);
+        names::strip_internal(&mut head.headers);
+        let mut parcel = Parcel::receive(head, body, call.left(now)?).await?;
         dispatch::dispatch(state, &snapshot, call, &mut parcel).await
     }
 }
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -41,7 +41,17 @@
 impl Client {
     /// A client with no connections yet.
     pub fn new(protocol: Protocol) -> Client {
+        Client::with(protocol, HttpConnector::new())
+    }
+
+    /// A client that connects from `address`, for tools that act for several callers.
+    pub fn bound(protocol: Protocol, address: IpAddr) -> Client {
         let mut connector = HttpConnector::new();
+        connector.set_local_address(Some(address));
+        Client::with(protocol, connector)
+    }
+
+    fn with(protocol: Protocol, mut connector: HttpConnector) -> Client {
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let mut builder = legacy::Client::builder(TokioExecutor::new());
