Give each concern of the exchange a section and a module

Cause: exchange.rs held membership, documents, signs and the feed of the entry daemon in one file, so that every change of one concern touched the others. Conclusion: documents, shares and membership can now change side by side.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,6 +5,7 @@
 pub mod acceptance;
 pub mod exchange;
 pub mod listing;
+pub mod membership;
 pub mod operator;
 pub mod publication;
 pub mod state;
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -1,19 +1,21 @@
-//! Exchange between control daemons, and the feed of the own entry daemon.
+//! Exchange between control daemons: one message with a section for each concern, each in a
+//! module of its own.
+
+mod documents;
+mod feed;
+mod signs;
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use oleanderspan::{document::Version, event::Kind, event::Stamp, prelude::*};
+use oleanderspan::{event::Stamp, prelude::*};
 use slog::debug;
 
 use crate::{
+    clock::wall_millis,
     codec,
-    control::{
-        State,
-        state::{Accepted, Peer as Heard},
-    },
-    entry::feed::POLL_LIMIT,
+    control::{State, membership},
     http::{Body, server::Handler},
     wire,
 };
@@ -24,15 +26,9 @@
 /// The longest time for one exchange.
 const LIMIT: Duration = Duration::from_millis(1_000);
 
-/// The silence after which a host counts as gone.
-const SILENCE: Duration = Duration::from_millis(2_500);
-
 /// The largest message between control daemons.
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
-/// How often an open question for the next snapshot is looked at.
-const FEED_TICK: Duration = Duration::from_millis(20);
-
 /// Exchanges with every peer for ever.
 pub async fn run(state: State) {
     loop {
@@ -45,28 +41,12 @@
                 }
             });
         }
-        forget_silent(&state);
+        membership::forget_silent(&state);
         let jitter = rand::random_range(0.75..1.25);
         tokio::time::sleep(INTERVAL.mul_f64(jitter)).await;
     }
 }
 
-fn forget_silent(state: &State) {
-    let now = state.clock.now();
-    let gone: Vec<String> = {
-        let mut inner = state.lock();
-        let silent = |peer: &Heard| now.since(peer.heard) > SILENCE;
-        let gone = inner.hosts.iter().filter(|(_, peer)| silent(peer));
-        let gone: Vec<String> = gone.map(|(name, _)| name.clone()).collect();
-        inner.hosts.retain(|_, peer| !silent(peer));
-        gone
-    };
-    for name in gone {
-        state.record(Kind::HostChanged, name, "gone");
-        state.changed.notify_one();
-    }
-}
-
 async fn exchange_with(state: &State, peer: SocketAddr) -> Result<(), String> {
     let body = codec::to_wire(&message(state)).map_err(|error| error.to_string())?;
     let request = Request::post(format!("http://{peer}/exchange"))
@@ -79,16 +59,12 @@
 }
 
 fn message(state: &State) -> wire::Exchange {
-    let from = state.own_host();
-    let inner = state.lock();
-    let accepted = inner.accepted.as_ref();
     wire::Exchange {
-        from,
-        stamp: state.hybrid.tick(crate::clock::wall_millis()).get(),
+        from: state.own_host(),
+        stamp: state.hybrid.tick(wall_millis()).get(),
         environment: state.settings.environment.to_string(),
-        version: accepted.map_or(0, |accepted| accepted.version.0),
-        document: accepted.map_or_else(String::new, |accepted| accepted.hash.clone()),
-        leaving: inner.leaving.iter().cloned().collect(),
+        document: documents::section(state),
+        signs: signs::section(state),
     }
 }
 
@@ -96,49 +72,11 @@
     if heard.environment != state.settings.environment.as_str() {
         return Err(format!("peer {} serves {}", heard.from.name, heard.environment));
     }
-    state.hybrid.observe(Stamp::from_number(heard.stamp));
-    for (name, incarnation) in &heard.leaving {
-        state.note_leaving(name, *incarnation);
-    }
     let address = heard.from.peer_address;
-    note_host(state, heard.from);
-    let known = state.lock().accepted.as_ref().map_or(Version::NONE, |a| a.version);
-    if Version(heard.version) > known {
-        fetch_from(state, address, Version(heard.version), heard.document).await?;
-    }
-    Ok(())
-}
-
-fn note_host(state: &State, host: wire::Host) {
-    let heard = state.clock.now();
-    let name = host.name.clone();
-    let detail = format!("{:?}", host.state).to_lowercase();
-    let before = state.lock().hosts.insert(name.clone(), Heard { host: host.clone(), heard });
-    if before.is_none_or(|before| before.host != host) {
-        state.record(Kind::HostChanged, name, detail);
-        state.changed.notify_one();
-    }
-}
-
-/// Takes a document over from a peer, so that it spreads also while the store is away.
-async fn fetch_from(
-    state: &State,
-    peer: SocketAddr,
-    version: Version,
-    hash: String,
-) -> Result<(), String> {
-    let request = Request::get(format!("http://{peer}/document/{hash}"))
-        .body(Body::empty())
-        .map_err(|error| error.to_string())?;
-    let answered = state.peers.call(request, LIMIT).await;
-    let (status, body) = answered.map_err(|error| error.to_string())?;
-    if status != StatusCode::OK || codec::hash(&body) != hash {
-        return Err(format!("peer does not have document {hash}"));
-    }
-    let raw = codec::from_wire(&body).map_err(|error| error.to_string())?;
-    let accepted = Accepted::new(version, hash, raw).map_err(|error| error.to_string())?;
-    state.put_in_force(accepted);
-    Ok(())
+    state.hybrid.observe(Stamp::from_number(heard.stamp));
+    signs::take_over(state, &heard.signs);
+    membership::note_host(state, heard.from);
+    documents::take_over(state, address, heard.document).await
 }
 
 /// Answers other control daemons and the own entry daemon.
@@ -150,59 +88,28 @@
 
     async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
         let (head, body) = request.into_parts();
+        let state = &self.0;
         let path = head.uri.path();
-        if let Some(seen) = path.strip_prefix("/snapshot/") {
-            return self.snapshot(seen).await;
-        }
-        if path.starts_with("/blocks/") {
-            return self.blocks();
-        }
-        if let Some(hash) = path.strip_prefix("/document/") {
-            return self.document(hash);
+        let (place, rest) = path.trim_start_matches('/').split_once('/').unwrap_or((path, ""));
+        match (&head.method, place) {
+            (&Method::GET, "snapshot") => return feed::snapshot(state, rest).await,
+            (&Method::GET, "blocks") => return feed::blocks(state),
+            (&Method::GET, "document") => return documents::answer(state, rest),
+            _ => {}
         }
         let Ok(body) = Limited::new(body, MAX_MESSAGE_BYTES).collect().await else {
             return status(StatusCode::PAYLOAD_TOO_LARGE);
         };
         match (&head.method, path) {
-            (&Method::POST, "/exchange") => self.exchange(&body.to_bytes()).await,
-            (&Method::POST, "/observe") => self.observe(&body.to_bytes()),
+            (&Method::POST, "/exchange") => self.exchange(&body.to_bytes()),
+            (&Method::POST, "/observe") => feed::observe(state, &body.to_bytes()),
             _ => status(StatusCode::NOT_FOUND),
         }
     }
 }
 
 impl Peer {
-    /// Answers as soon as there is a snapshot after `seen`, or with nothing after a while.
-    async fn snapshot(&self, seen: &str) -> Response<Body> {
-        let Ok(seen) = seen.parse::<u64>() else { return status(StatusCode::BAD_REQUEST) };
-        let until = self.0.clock.now() + POLL_LIMIT;
-        while self.0.clock.now() < until {
-            let snapshot = self.0.lock().snapshot.clone();
-            if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.sequence != seen) {
-                return wire(&*snapshot);
-            }
-            tokio::time::sleep(FEED_TICK).await;
-        }
-        status(StatusCode::NO_CONTENT)
-    }
-
-    fn blocks(&self) -> Response<Body> {
-        let accepted = self.0.lock().accepted.clone();
-        match accepted {
-            Some(accepted) => wire(&wire::Blocks { blocks: accepted.raw.blocks.clone() }),
-            None => status(StatusCode::NOT_FOUND),
-        }
-    }
-
-    fn document(&self, hash: &str) -> Response<Body> {
-        let accepted = self.0.lock().accepted.clone();
-        match accepted.filter(|accepted| accepted.hash == hash) {
-            Some(accepted) => wire(&*accepted.raw),
-            None => status(StatusCode::NOT_FOUND),
-        }
-    }
-
-    async fn exchange(&self, body: &[u8]) -> Response<Body> {
+    fn exchange(&self, body: &[u8]) -> Response<Body> {
         let Ok(heard) = codec::from_wire::<wire::Exchange>(body) else {
             return status(StatusCode::BAD_REQUEST);
         };
@@ -215,16 +122,6 @@
         });
         wire(&answer)
     }
-
-    fn observe(&self, body: &[u8]) -> Response<Body> {
-        let Ok(observation) = codec::from_wire::<wire::Observation>(body) else {
-            return status(StatusCode::BAD_REQUEST);
-        };
-        for (name, incarnation) in &observation.leaving {
-            self.0.note_leaving(name, *incarnation);
-        }
-        status(StatusCode::NO_CONTENT)
-    }
 }
 
 fn status(code: StatusCode) -> Response<Body> {
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -132,8 +132,8 @@
     }
     server.mark_leaving();
     let identity = &server.identity;
-    let leaving = vec![(identity.name.to_string(), identity.incarnation)];
-    state.observe(wire::Observation { leaving });
+    let sign = wire::Sign { server: identity.name.to_string(), incarnation: identity.incarnation };
+    state.observe(wire::Observation { leaving: vec![sign] });
 }
 
 fn answer_of(answer: Response<Incoming>, lease: Lease) -> Answer {
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -108,8 +108,26 @@
 /// What an entry daemon saw, for its control daemon.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Observation {
-    /// Servers that gave a sign of leaving, with their incarnation.
-    pub leaving: Vec<(String, u64)>,
+    /// Servers that gave a sign of leaving.
+    pub leaving: Vec<Sign>,
+}
+
+/// A sign of leaving of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sign {
+    /// The name of the server.
+    pub server: String,
+    /// The start that leaves.
+    pub incarnation: u64,
+}
+
+/// What a host has in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The version; 0 before the first document.
+    pub version: u64,
+    /// The content hash of that document.
+    pub document: String,
 }
 
 /// One exchange between control daemons; the answer has the same form.
@@ -121,12 +139,10 @@
     pub stamp: u64,
     /// The environment it serves.
     pub environment: String,
-    /// The version in force there.
-    pub version: u64,
-    /// The content hash of that document.
-    pub document: String,
-    /// Servers that are leaving, with their incarnation.
-    pub leaving: Vec<(String, u64)>,
+    /// What it has in force.
+    pub document: Holding,
+    /// Servers that are leaving.
+    pub signs: Vec<Sign>,
 }
 
 /// One event of the time line.
