Find and watch hosts by a bounded exchange, and read the store by two hosts a zone

Cause: every control daemon asked every other one each 500 ms and read the store and the list on its own; at 2,600 hosts that is 13 million questions a second, and a host that lost one message was forgotten by its silence alone. Change: entry::Membership, a pure aggregate in the manner of SWIM (three peers a round, one each of zone, region and world; indirect questions before a suspicion; refutation by incarnation; bounded piggyback; a digest in 64 buckets, of which only those that differ are copied, rarely). The two hosts of a zone that rank highest read the row and the list; others take lists over by stamp and content hash. backend::Signs holds the first sign of each start and forgets it once the platform no longer lists it. A host whose entry daemon is away is not live. Conclusion: the work of a host no longer grows with the number of hosts.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,8 +1,8 @@
-//! The clocks of the machine.
+//! The clocks and the random numbers of the machine.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use oleanderspan::prelude::*;
+use oleanderspan::{entry::membership::Random, prelude::*};
 
 /// The monotonic clock, counted from when it was made.
 #[derive(Clone, Copy, Debug)]
@@ -28,3 +28,13 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// The random numbers of the thread.
+#[derive(Clone, Copy, Debug)]
+pub struct Dice;
+
+impl Random for Dice {
+    fn below(&mut self, bound: usize) -> usize {
+        rand::random_range(0..bound)
+    }
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -33,7 +33,11 @@
         tokio::spawn(exchange::run(state.clone())),
         tokio::spawn(publication::run(state.clone())),
     ];
-    server::serve(peers, exchange::Peer(state.clone()), stop).await;
+    let goodbye = async {
+        stop.cancelled().await;
+        exchange::say_goodbye(&state).await;
+    };
+    tokio::join!(server::serve(peers, exchange::Peer(state.clone()), stop.clone()), goodbye);
     for task in &tasks {
         task.abort();
     }
--- a/crates/node/src/control/acceptance.rs
+++ b/crates/node/src/control/acceptance.rs
@@ -42,7 +42,9 @@
 /// Follows the environment's row for ever.
 pub async fn watch(state: State) {
     loop {
-        if let Err(error) = look(&state).await {
+        if state.roster.reads_store()
+            && let Err(error) = look(&state).await
+        {
             debug!(state.log, "environment not read"; "error" => %error);
         }
         let jitter = rand::random_range(0.75..1.25);
--- a/crates/node/src/control/exchange/documents.rs
+++ b/crates/node/src/control/exchange/documents.rs
@@ -1,7 +1,7 @@
 //! The section of an exchange about the document in force, which spreads host to host so that it
 //! does also while the store is away.
 
-use http::{Request, Response, StatusCode};
+use http::{Response, StatusCode};
 use oleanderspan::{document::Version, prelude::*};
 
 use crate::{
@@ -40,12 +40,8 @@
     version: Version,
     hash: String,
 ) -> Result<(), String> {
-    let request = Request::get(format!("http://{peer}/document/{hash}"))
-        .body(Body::empty())
-        .map_err(|error| error.to_string())?;
-    let answered = state.peers.call(request, exchange::LIMIT).await;
-    let (status, body) = answered.map_err(|error| error.to_string())?;
-    if status != StatusCode::OK || codec::hash(&body) != hash {
+    let body = exchange::get(state, peer, &format!("/document/{hash}")).await?;
+    if codec::hash(&body) != hash {
         return Err(format!("peer does not have document {hash}"));
     }
     let raw = codec::from_wire(&body).map_err(|error| error.to_string())?;
--- a/crates/node/src/control/exchange/feed.rs
+++ b/crates/node/src/control/exchange/feed.rs
@@ -8,8 +8,8 @@
     control::{
         State,
         exchange::{self, signs},
+        membership,
     },
-    entry::feed::POLL_LIMIT,
     http::Body,
     wire,
 };
@@ -17,10 +17,14 @@
 /// How often an open question for the next snapshot is looked at.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Longest time that a question is kept open; its end shows that the entry daemon is frozen.
+const LIMIT: Duration = Duration::from_secs(1);
+
 /// Answers as soon as there is a snapshot after `seen`, or with nothing after a while.
 pub(super) async fn snapshot(state: &State, seen: &str) -> Response<Body> {
     let Ok(seen) = seen.parse::<u64>() else { return exchange::status(StatusCode::BAD_REQUEST) };
-    let until = state.clock.now() + POLL_LIMIT;
+    let _visit = state.roster.visit(&state.clock, seen == 0);
+    let until = state.clock.now() + LIMIT;
     while state.clock.now() < until {
         let snapshot = state.lock().snapshot.clone();
         if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.sequence != seen) {
@@ -45,6 +49,11 @@
     let Ok(observation) = codec::from_wire::<wire::Observation>(body) else {
         return exchange::status(StatusCode::BAD_REQUEST);
     };
-    signs::take_over(state, &observation.leaving);
+    signs::note_all(state, &observation.leaving);
+    if observation.stopping {
+        state.roster.note_entry_stopping();
+        membership::refresh(state);
+        state.roster.hurry();
+    }
     exchange::status(StatusCode::NO_CONTENT)
 }
--- a/crates/node/src/control/listing.rs
+++ b/crates/node/src/control/listing.rs
@@ -1,33 +1,106 @@
 //! The platform's list of backend servers, which lags and may be away.
+//!
+//! Two hosts of each zone read it; the others learn from their peers which list is the latest,
+//! and fetch it only if its content differs from theirs.
 
-use oleanderspan::prelude::*;
+use http::{Response, StatusCode};
+use oleanderspan::{entry::membership::jitter, prelude::*};
 use slog::debug;
 
-use crate::control::State;
+use crate::{
+    clock::{Dice, wall_millis},
+    codec,
+    control::{State, exchange},
+    http::Body,
+    store::List,
+    wire::Listing,
+};
 
 /// The mean time between two looks at the list.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a reader prefers its own look to that of a peer.
+const OWN_VALIDITY: Duration = Duration::from_secs(3);
+
 /// Follows the list for ever; while the platform is away the last one stays in force.
 pub async fn watch(state: State) {
     loop {
-        match state.store.list().await {
-            Ok(list) => take_over(&state, list),
-            Err(error) => debug!(state.log, "list not read"; "error" => %error),
+        if state.roster.reads_store() {
+            look(&state).await;
+        }
+        tokio::time::sleep(jitter(POLL_INTERVAL, &mut Dice)).await;
+    }
+}
+
+async fn look(state: &State) {
+    match state.store.list().await {
+        Ok(list) => {
+            let stamp = state.hybrid.tick(wall_millis()).get();
+            state.roster.note_list_read(state.clock.now());
+            put_in_force(state, list, stamp);
+        }
+        Err(error) => debug!(state.log, "list not read"; "error" => %error),
+    }
+}
+
+/// Which list this host has.
+pub(super) fn section(state: &State) -> Listing {
+    state.lock().listing.clone()
+}
+
+/// Takes over the list of a peer that was read later.
+pub(super) async fn take_over(
+    state: &State,
+    peer: SocketAddr,
+    theirs: Listing,
+) -> Result<(), String> {
+    {
+        let mut inner = state.lock();
+        if theirs.stamp <= inner.listing.stamp {
+            return Ok(());
+        }
+        if theirs.hash == inner.listing.hash {
+            inner.listing.stamp = theirs.stamp;
+            return Ok(());
         }
-        let jitter = rand::random_range(0.75..1.25);
-        tokio::time::sleep(POLL_INTERVAL.mul_f64(jitter)).await;
     }
+    if state.roster.has_read_list(state.clock.now(), OWN_VALIDITY) {
+        return Ok(());
+    }
+    let body = exchange::get(state, peer, &format!("/list/{}", theirs.hash)).await?;
+    if codec::hash(&body) != theirs.hash {
+        return Err(format!("peer does not have list {}", theirs.hash));
+    }
+    let list = codec::from_wire(&body).map_err(|error| error.to_string())?;
+    put_in_force(state, list, theirs.stamp);
+    Ok(())
 }
 
-fn take_over(state: &State, list: crate::store::List) {
-    for server in list.servers.iter().filter(|server| server.leaving) {
-        state.note_leaving(&server.name, server.incarnation);
+/// Answers with the list if it has this content hash.
+pub(super) fn answer(state: &State, hash: &str) -> Response<Body> {
+    let inner = state.lock();
+    if inner.listing.hash != hash {
+        return exchange::status(StatusCode::NOT_FOUND);
     }
-    let mut inner = state.lock();
-    if inner.list != list {
+    exchange::wire(&inner.list)
+}
+
+fn put_in_force(state: &State, list: List, stamp: u64) {
+    let Ok(bytes) = codec::to_wire(&list) else { return };
+    let hash = codec::hash(&bytes);
+    {
+        let mut inner = state.lock();
+        if inner.listing.stamp >= stamp {
+            return;
+        }
+        inner.listing.stamp = stamp;
+        if inner.listing.hash == hash {
+            return;
+        }
+        inner.listing.hash = hash;
         inner.list = list;
-        drop(inner);
-        state.changed.notify_one();
     }
+    exchange::refresh_signs(state);
+    state.changed.notify_one();
+    state.roster.hurry();
 }
--- a/crates/node/src/control/membership.rs
+++ b/crates/node/src/control/membership.rs
@@ -1,40 +1,254 @@
-//! The section of an exchange about entry hosts.
+//! The membership of this control daemon: the aggregate, and whether the own entry daemon serves.
 
-use oleanderspan::{event::Kind, prelude::*};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use oleanderspan::{
+    entry::{
+        Member, Membership, Name,
+        host::{Incarnation, State as Condition},
+        membership::{Gossip, Target},
+    },
+    event::Kind,
+    prelude::*,
+};
+use tokio::sync::Notify;
 
 use crate::{
-    control::{State, state::Peer as Heard},
+    clock::{Dice, Monotonic, wall_millis},
+    control::State,
+    settings::Settings,
     wire,
 };
 
-/// The silence after which a host counts as gone.
-const SILENCE: Duration = Duration::from_millis(2_500);
+/// The absence after which the own entry daemon counts as stopped.
+const ABSENCE: Duration = Duration::from_secs(1);
 
-/// Forgets hosts that have not answered lately.
-pub fn forget_silent(state: &State) {
-    let now = state.clock.now();
-    let gone: Vec<String> = {
-        let mut inner = state.lock();
-        let silent = |peer: &Heard| now.since(peer.heard) > SILENCE;
-        let gone = inner.hosts.iter().filter(|(_, peer)| silent(peer));
-        let gone: Vec<String> = gone.map(|(name, _)| name.clone()).collect();
-        inner.hosts.retain(|_, peer| !silent(peer));
-        gone
-    };
-    for name in gone {
-        state.record(Kind::HostChanged, name, "gone");
-        state.changed.notify_one();
+/// The least time between two comparisons of all signs.
+const SIGNS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What the control daemon knows of entry hosts.
+#[derive(Debug)]
+pub struct Roster {
+    members: Mutex<Membership>,
+    attendance: Mutex<Attendance>,
+    urgent: Notify,
+}
+
+/// What is known of the own daemons.
+#[derive(Debug, Default)]
+struct Attendance {
+    visits: u32,
+    left: Option<Instant>,
+    entry_is_stopping: bool,
+    control_is_stopping: bool,
+    list_read: Option<Instant>,
+    signs_compared: Option<Instant>,
+}
+
+impl Roster {
+    /// The roster of a daemon that has not heard of others yet.
+    pub fn new(settings: &Settings, now: Instant) -> Roster {
+        let own = Member {
+            name: settings.host.name.clone(),
+            incarnation: Incarnation(wall_millis()),
+            state: Condition::Starting,
+            zone: settings.host.zone.clone(),
+            caller_address: settings.entry.caller_address,
+            relay_address: settings.entry.relay_address,
+            peer_address: settings.control.peer_address,
+        };
+        Roster {
+            members: Mutex::new(Membership::new(own, now)),
+            attendance: Mutex::default(),
+            urgent: Notify::new(),
+        }
+    }
+
+    /// Every host that is not gone, this one included, in the order of their names.
+    pub fn hosts(&self) -> Vec<wire::Host> {
+        let members = self.members();
+        let mut hosts: Vec<wire::Host> =
+            members.peers().chain([members.own()]).map(wire::Host::from).collect();
+        hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        hosts
+    }
+
+    /// The number of hosts that are not gone.
+    pub fn count(&self) -> usize {
+        self.members().peers().count() + 1
+    }
+
+    /// Whether this host reads the platform's service for its zone.
+    pub fn reads_store(&self) -> bool {
+        self.members().reads_store()
+    }
+
+    /// Asks for the next round at once, because there is something to tell.
+    pub fn hurry(&self) {
+        self.urgent.notify_one();
+    }
+
+    /// Returns when somebody is in a hurry.
+    pub async fn urgent(&self) {
+        self.urgent.notified().await;
+    }
+
+    /// The peers to ask in this round.
+    pub fn round(&self, now: Instant) -> Vec<Target> {
+        self.members().round(now, &mut Dice)
+    }
+
+    /// Seeds that belong to no host that is known.
+    pub fn strangers(&self, seeds: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+        let members = self.members();
+        let is_known = |seed: &SocketAddr| {
+            members.own().peer_address == *seed || members.peers().any(|m| m.peer_address == *seed)
+        };
+        seeds.filter(|seed| !is_known(seed)).collect()
+    }
+
+    /// What to send to a host.
+    pub fn gossip(&self, to: Option<&Name>) -> wire::Gossip {
+        wire::Gossip::from(&self.members().gossip(to))
+    }
+
+    /// Takes over what a host said; true if the whole membership should be compared with it.
+    pub fn hear(&self, gossip: &Gossip, now: Instant) -> bool {
+        self.members().hear(gossip, now, &mut Dice)
+    }
+
+    /// The digests of this host's membership.
+    pub fn digests(&self) -> Vec<u64> {
+        self.members().digest().parts().to_vec()
+    }
+
+    /// The members where another host's digests differ.
+    pub fn differing(&self, theirs: &[u64]) -> Vec<wire::Host> {
+        self.members().differing(theirs).iter().map(wire::Host::from).collect()
+    }
+
+    /// Takes over members from a comparison.
+    pub fn absorb(&self, members: &[Member], now: Instant) {
+        self.members().absorb(members, now);
+    }
+
+    /// Hosts that shall ask a silent one.
+    pub fn helpers(&self, silent: &Name) -> Vec<Target> {
+        self.members().helpers(silent, &mut Dice)
+    }
+
+    /// Suspects a host that has not answered since `asked`.
+    pub fn suspect(&self, silent: &Name, asked: Instant, now: Instant) {
+        self.members().suspect(silent, asked, now);
+    }
+
+    /// Counts the own entry daemon as present until the visit ends; a first visit is that of a
+    /// daemon that has just started.
+    pub fn visit<'a>(&'a self, clock: &'a Monotonic, is_first: bool) -> Visit<'a> {
+        let mut attendance = self.attendance();
+        attendance.visits += 1;
+        if is_first {
+            attendance.entry_is_stopping = false;
+        }
+        Visit { roster: self, clock }
+    }
+
+    /// Takes note that the own entry daemon was told to stop.
+    pub fn note_entry_stopping(&self) {
+        self.attendance().entry_is_stopping = true;
+    }
+
+    /// Takes note that this daemon was told to stop.
+    pub fn note_control_stopping(&self) {
+        self.attendance().control_is_stopping = true;
+    }
+
+    /// Takes note that this host has read the platform's list.
+    pub fn note_list_read(&self, now: Instant) {
+        self.attendance().list_read = Some(now);
+    }
+
+    /// Whether this host has read the platform's list within `validity`.
+    pub fn has_read_list(&self, now: Instant, validity: Duration) -> bool {
+        self.attendance().list_read.is_some_and(|read| now.since(read) < validity)
+    }
+
+    /// Whether it is time to compare all signs with a peer; the time starts anew if so.
+    pub fn may_compare_signs(&self, now: Instant) -> bool {
+        let mut attendance = self.attendance();
+        let is_due = attendance.signs_compared.is_none_or(|at| now.since(at) >= SIGNS_INTERVAL);
+        if is_due {
+            attendance.signs_compared = Some(now);
+        }
+        is_due
+    }
+
+    fn condition(&self, is_drained: bool, has_document: bool, now: Instant) -> Condition {
+        let attendance = self.attendance();
+        let is_served =
+            attendance.visits > 0 || attendance.left.is_some_and(|left| now.since(left) < ABSENCE);
+        let is_leaving =
+            attendance.entry_is_stopping || attendance.control_is_stopping || is_drained;
+        match (is_served, has_document) {
+            (false, _) if attendance.control_is_stopping => Condition::Gone,
+            _ if is_leaving => Condition::Leaving,
+            (true, true) => Condition::Live,
+            _ => Condition::Starting,
+        }
+    }
+
+    fn members(&self) -> MutexGuard<'_, Membership> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn attendance(&self) -> MutexGuard<'_, Attendance> {
+        self.attendance.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An open question of the own entry daemon.
+#[derive(Debug)]
+pub struct Visit<'a> {
+    roster: &'a Roster,
+    clock: &'a Monotonic,
+}
+
+impl Drop for Visit<'_> {
+    fn drop(&mut self) {
+        let mut attendance = self.roster.attendance();
+        attendance.visits -= 1;
+        attendance.left = Some(self.clock.now());
     }
 }
 
-/// Takes over what a host said of itself.
-pub fn note_host(state: &State, host: wire::Host) {
-    let heard = state.clock.now();
-    let name = host.name.clone();
-    let detail = format!("{:?}", host.state).to_lowercase();
-    let before = state.lock().hosts.insert(name.clone(), Heard { host: host.clone(), heard });
-    if before.is_none_or(|before| before.host != host) {
-        state.record(Kind::HostChanged, name, detail);
+/// Brings the own state up to date, and records what changed in those of others.
+pub fn refresh(state: &State) {
+    let now = state.clock.now();
+    let accepted = state.lock().accepted.as_ref().map(|accepted| Arc::clone(&accepted.draft));
+    let name = &state.settings.host.name;
+    let zone = state.settings.host.zone.as_str();
+    let is_drained = accepted.as_ref().is_some_and(|draft| {
+        let mut zones = draft.drains.zones.iter().map(|zone| &draft.zones[usize::from(zone.0)]);
+        draft.drains.entry_hosts.contains(name) || zones.any(|z| z.name.as_str() == zone)
+    });
+    let condition = state.roster.condition(is_drained, accepted.is_some(), now);
+    let (news, is_new) = {
+        let mut members = state.roster.members();
+        let before = members.own().state;
+        members.declare(condition, now);
+        if let Some(draft) = &accepted {
+            members.set_zones(&draft.zones);
+        }
+        (members.take_news(), before != condition)
+    };
+    for member in &news {
+        let detail = format!("{:?}", member.state).to_lowercase();
+        state.record(Kind::HostChanged, member.name.as_str(), detail);
+    }
+    if is_new {
+        state.roster.hurry();
+    }
+    if is_new || !news.is_empty() {
         state.changed.notify_one();
     }
 }
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -137,18 +137,15 @@
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(context: RequestContext<State>) -> Result<HttpResponseOk<Status>, HttpError> {
     let state = context.context();
-    let own = state.own_host();
+    let hosts = state.roster.hosts();
     let inner = state.lock();
-    let mut hosts: Vec<_> = inner.hosts.values().map(|peer| peer.host.clone()).collect();
-    hosts.push(own.clone());
-    hosts.sort_by(|a, b| a.name.cmp(&b.name));
     let hosts = hosts.into_iter().map(|host| HostStatus {
         state: format!("{:?}", host.state).to_lowercase(),
         name: host.name,
         zone: host.zone,
     });
     Ok(HttpResponseOk(Status {
-        host: own.name,
+        host: state.settings.host.name.to_string(),
         environment: state.settings.environment.to_string(),
         version: inner.accepted.as_ref().map_or(0, |accepted| accepted.version.0),
         document: inner.accepted.as_ref().map_or_else(String::new, |a| a.hash.clone()),
--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -28,13 +28,13 @@
 }
 
 fn publish(state: &State) {
-    let own = state.own_host();
+    let hosts = state.roster.hosts();
     let now = state.clock.now();
     let mut inner = state.lock();
     let Some(accepted) = inner.accepted.clone() else { return };
     move_shares(&mut inner, &accepted, now);
     let sequence = inner.snapshot.as_ref().map_or(0, |snapshot| snapshot.sequence);
-    let next = compose(&inner, &accepted, own, sequence + 1);
+    let next = compose(&inner, &accepted, hosts, sequence + 1);
     if inner.snapshot.as_ref().is_none_or(|last| differs(last, &next)) {
         inner.snapshot = Some(Arc::new(next));
     }
@@ -51,18 +51,20 @@
     }
 }
 
-fn compose(inner: &Inner, accepted: &Accepted, own: wire::Host, sequence: u64) -> wire::Snapshot {
+fn compose(
+    inner: &Inner,
+    accepted: &Accepted,
+    hosts: Vec<wire::Host>,
+    sequence: u64,
+) -> wire::Snapshot {
     let document = raw::Document { blocks: BTreeMap::new(), ..(*accepted.raw).clone() };
-    let mut hosts: Vec<wire::Host> = inner.hosts.values().map(|peer| peer.host.clone()).collect();
-    hosts.push(own);
-    hosts.sort_by(|a, b| a.name.cmp(&b.name));
     let servers = inner.list.servers.iter().map(|server| wire::Server {
         name: server.name.clone(),
         incarnation: server.incarnation,
         service: server.service.clone(),
         zone: server.zone.clone(),
         address: server.address,
-        leaving: inner.leaving.contains(&(server.name.clone(), server.incarnation)),
+        leaving: inner.signs.has(&server.name, server.incarnation),
     });
     let shares = accepted.draft.services.iter().map(|service| {
         let slews = inner.shares.get(service.name.as_str());
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -6,6 +6,7 @@
 };
 
 use oleanderspan::{
+    backend::{Signs, server::Identity},
     document::{self, Draft, raw},
     event::{Event, Hybrid, Kind},
     prelude::*,
@@ -17,6 +18,7 @@
 use crate::{
     clock::{Monotonic, wall_millis},
     codec,
+    control::membership::Roster,
     http::client::{Client, Protocol},
     settings::Settings,
     store::{self, Store},
@@ -47,8 +49,8 @@
     pub log: Logger,
     /// Told when something that the entry daemon must know has changed.
     pub changed: Notify,
-    /// The incarnation of this host.
-    pub incarnation: u64,
+    /// What is known of entry hosts.
+    pub roster: Roster,
     inner: Mutex<Inner>,
     process: Arc<str>,
 }
@@ -81,26 +83,19 @@
     }
 }
 
-/// A host that was heard of, and when it answered last.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// What it said of itself.
-    pub host: wire::Host,
-    /// When it answered last.
-    pub heard: Instant,
-}
-
 /// What changes.
 #[derive(Debug, Default)]
 pub struct Inner {
     /// The document in force.
     pub accepted: Option<Accepted>,
-    /// Other hosts, by name.
-    pub hosts: Map<String, Peer>,
     /// The platform's list, as it was read last.
     pub list: store::List,
-    /// Servers that gave a sign of leaving, with their incarnation.
-    pub leaving: Set<(String, u64)>,
+    /// When and by its content which list that is.
+    pub listing: wire::Listing,
+    /// Servers that gave a sign of leaving.
+    pub signs: Signs,
+    /// The document's version and the list's hash whose signs have been noted.
+    pub signs_source: (u64, String),
     /// Shares in force, by service name and region of the caller.
     pub shares: Map<String, Vec<Slew>>,
     /// The latest snapshot for the entry daemon.
@@ -121,13 +116,14 @@
     /// The state of a daemon that has learned nothing yet.
     pub fn start(settings: Settings, log: Logger) -> State {
         let process = format!("{}/control", settings.host.name).into();
+        let clock = Monotonic::start();
         let state = State(Arc::new(Shared {
             store: Store::new(&settings.platform),
             peers: Client::new(Protocol::Http2),
-            clock: Monotonic::start(),
+            roster: Roster::new(&settings, clock.now()),
+            clock,
             hybrid: Hybrid::default(),
             changed: Notify::new(),
-            incarnation: wall_millis(),
             inner: Mutex::default(),
             process,
             settings,
@@ -174,29 +170,18 @@
         }
         self.record(Kind::InForce, version.to_string(), "");
         self.changed.notify_one();
+        self.roster.hurry();
     }
 
-    /// Takes note that a server is leaving; true for the first sign of this incarnation.
-    pub fn note_leaving(&self, name: &str, incarnation: u64) {
-        let first = self.lock().leaving.insert((name.to_owned(), incarnation));
+    /// Takes note of a sign that a server is leaving.
+    pub fn note_leaving(&self, identity: Identity) {
+        let subject = identity.name.to_string();
+        let detail = format!("incarnation {}", identity.incarnation);
+        let first = self.lock().signs.note(identity, self.clock.now());
         if first {
-            self.record(Kind::ServerLeaving, name, format!("incarnation {incarnation}"));
+            self.record(Kind::ServerLeaving, subject, detail);
             self.changed.notify_one();
-        }
-    }
-
-    /// This host as it tells others of itself.
-    pub fn own_host(&self) -> wire::Host {
-        let settings = &self.settings;
-        let ready = self.lock().accepted.is_some();
-        wire::Host {
-            name: settings.host.name.to_string(),
-            incarnation: self.incarnation,
-            state: if ready { wire::HostState::Live } else { wire::HostState::Starting },
-            zone: settings.host.zone.to_string(),
-            caller_address: settings.entry.caller_address,
-            relay_address: settings.entry.relay_address,
-            peer_address: settings.control.peer_address,
+            self.roster.hurry();
         }
     }
 }
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -133,7 +133,7 @@
     server.mark_leaving();
     let identity = &server.identity;
     let sign = wire::Sign { server: identity.name.to_string(), incarnation: identity.incarnation };
-    state.observe(wire::Observation { leaving: vec![sign] });
+    state.observe(wire::Observation { leaving: vec![sign], stopping: false });
 }
 
 fn answer_of(answer: Response<Incoming>, lease: Lease) -> Answer {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -100,6 +100,9 @@
 pub struct List {
     /// The servers.
     pub servers: Vec<Listed>,
+    /// Peer addresses of entry hosts, if the platform lists them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub hosts: Vec<SocketAddr>,
 }
 
 /// A client of the platform's service.
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -3,9 +3,14 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use oleanderspan::{
+    availability, backend,
     document::raw,
-    entry::host::{Incarnation, State},
+    entry::{
+        self, Member,
+        host::{Incarnation, State},
+    },
     event::{Event, Kind, Stamp},
+    name,
 };
 use serde::{Deserialize, Serialize};
 
@@ -81,6 +86,48 @@
     }
 }
 
+impl From<State> for HostState {
+    fn from(state: State) -> HostState {
+        match state {
+            State::Starting => HostState::Starting,
+            State::Live => HostState::Live,
+            State::Suspect => HostState::Suspect,
+            State::Leaving => HostState::Leaving,
+            State::Gone => HostState::Gone,
+        }
+    }
+}
+
+impl From<&Member> for Host {
+    fn from(member: &Member) -> Host {
+        Host {
+            name: member.name.to_string(),
+            incarnation: member.incarnation.0,
+            state: member.state.into(),
+            zone: member.zone.to_string(),
+            caller_address: member.caller_address,
+            relay_address: member.relay_address,
+            peer_address: member.peer_address,
+        }
+    }
+}
+
+impl TryFrom<&Host> for Member {
+    type Error = name::Error;
+
+    fn try_from(raw: &Host) -> Result<Member, name::Error> {
+        Ok(Member {
+            name: entry::Name::try_from(raw.name.as_str())?,
+            incarnation: raw.incarnation(),
+            state: raw.state.into(),
+            zone: availability::Name::try_from(raw.zone.as_str())?,
+            caller_address: raw.caller_address,
+            relay_address: raw.relay_address,
+            peer_address: raw.peer_address,
+        })
+    }
+}
+
 impl Host {
     /// The start that this was said of.
     pub fn incarnation(&self) -> Incarnation {
@@ -110,6 +157,8 @@
 pub struct Observation {
     /// Servers that gave a sign of leaving.
     pub leaving: Vec<Sign>,
+    /// Whether the entry daemon was told to stop.
+    pub stopping: bool,
 }
 
 /// A sign of leaving of a backend server.
@@ -121,6 +170,72 @@
     pub incarnation: u64,
 }
 
+impl From<&backend::server::Identity> for Sign {
+    fn from(identity: &backend::server::Identity) -> Sign {
+        Sign { server: identity.name.to_string(), incarnation: identity.incarnation }
+    }
+}
+
+impl TryFrom<&Sign> for backend::server::Identity {
+    type Error = name::Error;
+
+    fn try_from(raw: &Sign) -> Result<backend::server::Identity, name::Error> {
+        let name = backend::Name::try_from(raw.server.as_str())?;
+        Ok(backend::server::Identity { name, incarnation: raw.incarnation })
+    }
+}
+
+/// What a message says of servers that are leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Signs {
+    /// Signs that were seen lately.
+    pub recent: Vec<Sign>,
+    /// The digest of all signs of listed servers.
+    pub digest: u64,
+}
+
+/// What a message says of entry hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The sender.
+    pub from: Host,
+    /// Hosts that changed lately.
+    pub changes: Vec<Host>,
+    /// The digest of all hosts that the sender knows.
+    pub digest: u64,
+}
+
+impl From<&entry::membership::Gossip> for Gossip {
+    fn from(gossip: &entry::membership::Gossip) -> Gossip {
+        Gossip {
+            from: Host::from(&gossip.from),
+            changes: gossip.changes.iter().map(Host::from).collect(),
+            digest: gossip.digest,
+        }
+    }
+}
+
+impl TryFrom<&Gossip> for entry::membership::Gossip {
+    type Error = name::Error;
+
+    fn try_from(raw: &Gossip) -> Result<entry::membership::Gossip, name::Error> {
+        Ok(entry::membership::Gossip {
+            from: Member::try_from(&raw.from)?,
+            changes: raw.changes.iter().map(Member::try_from).collect::<Result<_, _>>()?,
+            digest: raw.digest,
+        })
+    }
+}
+
+/// Which list of backend servers a host has.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// When a host read it from the platform, in hybrid logical time; 0 before the first one.
+    pub stamp: u64,
+    /// The content hash of the list.
+    pub hash: String,
+}
+
 /// What a host has in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
@@ -133,8 +248,8 @@
 /// One exchange between control daemons; the answer has the same form.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Exchange {
-    /// The sender.
-    pub from: Host,
+    /// The sender, and what it knows of the others.
+    pub members: Gossip,
     /// Its latest stamp.
     pub stamp: u64,
     /// The environment it serves.
@@ -142,7 +257,9 @@
     /// What it has in force.
     pub document: Holding,
     /// Servers that are leaving.
-    pub signs: Vec<Sign>,
+    pub signs: Signs,
+    /// Its list of backend servers.
+    pub listing: Listing,
 }
 
 /// One event of the time line.
--- a/crates/oleanderspan/src/backend.rs
+++ b/crates/oleanderspan/src/backend.rs
@@ -2,9 +2,11 @@
 
 pub mod pool;
 pub mod server;
+pub mod sign;
 
 pub use pool::{Pool, Waiter};
 pub use server::Server;
+pub use sign::Signs;
 
 checked_name! {
     /// The name of a backend server.
--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -2,10 +2,12 @@
 
 pub mod host;
 pub mod locate;
+pub mod membership;
 pub mod rank;
 
 pub use host::Host;
 pub use locate::{Answer, Policy};
+pub use membership::{Member, Membership};
 
 checked_name! {
     /// The name of an entry host.
