Prove the membership in virtual time on lossy and cut links

Cause: nothing showed that a lossy link kills no host and that news reach everybody. A silent host is now asked a second time directly and by four others (before: three others alone), and a message carries 16 changes (before: 8).

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod fleet;
 pub mod platform;
 pub mod sample;
+pub mod scale;
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -96,18 +96,32 @@
         return;
     };
     debug!(state.log, "no exchange"; "peer" => target.name.as_str(), "error" => error);
+    let again = exchange_with(&state, target.peer_address, Some(&target.name));
+    let (again, others) = tokio::join!(again, is_reached_by_others(&state, &target));
+    if again.is_ok() || others {
+        return;
+    }
+    state.roster.suspect(&target.name, asked, state.clock.now());
+    membership::refresh(&state);
+    state.roster.hurry();
+}
+
+async fn is_reached_by_others(state: &State, target: &Target) -> bool {
     let helpers = state.roster.helpers(&target.name);
     let path = format!("/probe/{}", target.peer_address);
     let mut answers: FuturesUnordered<_> =
-        helpers.iter().map(|helper| get(&state, helper.peer_address, &path)).collect();
+        helpers.iter().map(|helper| probe_by(state, helper, &path)).collect();
     while let Some(answer) = answers.next().await {
         if answer.is_ok() {
-            return;
+            return true;
         }
     }
-    state.roster.suspect(&target.name, asked, state.clock.now());
-    membership::refresh(&state);
-    state.roster.hurry();
+    false
+}
+
+async fn probe_by(state: &State, helper: &Target, path: &str) -> Result<Bytes, String> {
+    let request = Request::get(format!("http://{}{path}", helper.peer_address));
+    call(state, request.body(Body::empty()), 2 * LIMIT).await
 }
 
 /// Exchanges with the peer at an address, which must have the name `expected`, if any.
--- a/crates/oleanderspan/src/entry/membership.rs
+++ b/crates/oleanderspan/src/entry/membership.rs
@@ -31,7 +31,7 @@
 pub const ROUND: Duration = Duration::from_millis(500);
 
 /// The longest time for a direct or an indirect question.
-pub const QUESTION_LIMIT: Duration = Duration::from_millis(800);
+pub const QUESTION_LIMIT: Duration = Duration::from_millis(600);
 
 /// The time that a suspected host has to refute, for each doubling of the number of hosts.
 const SUSPICION_PER_DOUBLING: Duration = Duration::from_millis(500);
@@ -52,10 +52,10 @@
 const ROUNDS_PER_RECALL: usize = 10;
 
 /// Changes in one message.
-const MAX_CHANGES: usize = 8;
+const MAX_CHANGES: usize = 16;
 
 /// Hosts that are asked to ask for us.
-const HELPERS: usize = 3;
+const HELPERS: usize = 4;
 
 /// Hosts of a zone that read the platform's service for the others.
 pub const READERS_PER_ZONE: usize = 2;
@@ -78,6 +78,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     member: Member,
+    ring: Ring,
     since: Instant,
 }
 
@@ -136,7 +137,14 @@
 
     /// Takes over which zone is in which region, so that peers can be chosen by nearness.
     pub fn set_zones(&mut self, zones: &[availability::Zone]) {
-        self.regions = zones.iter().map(|zone| (zone.name.clone(), zone.region)).collect();
+        let regions = zones.iter().map(|zone| (zone.name.clone(), zone.region)).collect();
+        if self.regions == regions {
+            return;
+        }
+        self.regions = regions;
+        for peer in self.peers.values_mut() {
+            peer.ring = ring_of(&self.regions, &self.own, &peer.member);
+        }
     }
 
     /// Changes the state of this host; others believe it because of its higher incarnation.
@@ -152,11 +160,14 @@
         self.forgive_own_pause(now);
         self.expire(now);
         let mut candidates = self.candidates(|member| member.is_present());
-        let mut targets: Vec<Target> =
-            Ring::ALL.into_iter().filter_map(|ring| candidates.take(ring, random)).collect();
+        let mut targets: Vec<Target> = Ring::ALL
+            .into_iter()
+            .filter_map(|ring| candidates.take(ring, random))
+            .map(Target::from)
+            .collect();
         if random.below(ROUNDS_PER_RECALL) == 0 {
             let mut lost = self.candidates(|member| !member.is_present());
-            targets.extend(lost.take(Ring::Zone, random));
+            targets.extend(lost.take(Ring::Zone, random).map(Target::from));
         }
         targets
     }
@@ -205,7 +216,7 @@
         }
     }
 
-    /// Hosts that shall ask a silent one: one near it, one near us and one anywhere.
+    /// Hosts that shall ask a silent one: one near it, one near us and some anywhere.
     pub fn helpers(&self, silent: &entry::Name, random: &mut impl Random) -> Vec<Target> {
         let Some(accused) = self.peer(silent) else { return Vec::new() };
         let mut candidates =
@@ -216,8 +227,8 @@
         if !near.is_empty() {
             helpers.push(Target::from(near[random.below(near.len())]));
         }
-        for ring in [Ring::Zone, Ring::World, Ring::Region] {
-            let another = candidates.take(ring, random);
+        for ring in [Ring::Zone, Ring::World, Ring::Region, Ring::World] {
+            let another = candidates.take(ring, random).map(Target::from);
             helpers.extend(another.filter(|target| !helpers.contains(target)));
         }
         helpers.truncate(HELPERS);
@@ -252,24 +263,14 @@
         before.count() < READERS_PER_ZONE && (serves(&&self.own) || self.peers.is_empty())
     }
 
-    fn candidates(&self, usable: impl Fn(&Member) -> bool) -> ring::Candidates<Target> {
+    fn candidates(&self, usable: impl Fn(&Member) -> bool) -> ring::Candidates<&Member> {
         let mut candidates = ring::Candidates::new();
         for peer in self.peers.values().filter(|peer| usable(&peer.member)) {
-            candidates.add(self.ring(&peer.member), Target::from(&peer.member));
+            candidates.add(peer.ring, &peer.member);
         }
         candidates
     }
 
-    fn ring(&self, member: &Member) -> Ring {
-        if member.zone == self.own.zone {
-            return Ring::Zone;
-        }
-        match (self.regions.get(&member.zone), self.regions.get(&self.own.zone)) {
-            (Some(theirs), Some(ours)) if theirs == ours => Ring::Region,
-            _ => Ring::World,
-        }
-    }
-
     fn learn(&mut self, member: &Member, now: Instant) {
         if member.name == self.own.name {
             return self.refute(member, now);
@@ -303,7 +304,8 @@
         self.rumors.push(member.name.clone());
         self.news.push(member.clone());
         self.last_change = now;
-        self.peers.insert(member.name.clone(), Peer { member, since: now });
+        let ring = ring_of(&self.regions, &self.own, &member);
+        self.peers.insert(member.name.clone(), Peer { member, ring, since: now });
     }
 
     fn remove(&mut self, name: &entry::Name) {
@@ -339,6 +341,20 @@
     }
 }
 
+fn ring_of(
+    regions: &Map<availability::Name, region::Index>,
+    own: &Member,
+    member: &Member,
+) -> Ring {
+    if member.zone == own.zone {
+        return Ring::Zone;
+    }
+    match (regions.get(&member.zone), regions.get(&own.zone)) {
+        (Some(theirs), Some(ours)) if theirs == ours => Ring::Region,
+        _ => Ring::World,
+    }
+}
+
 impl From<&Member> for Target {
     fn from(member: &Member) -> Target {
         Target { name: member.name.clone(), peer_address: member.peer_address }
