--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod load;
 pub mod platform;
 pub mod sample;
+pub mod scale;
