--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -154,7 +154,11 @@
             *ledger.runs.entry(key.to_owned()).or_default() += 1;
         });
         let slowness = u32::try_from(self.0.slowness.load(Ordering::SeqCst)).unwrap_or(1);
-        tokio::time::sleep(run_time(&head.headers).unwrap_or(self.0.run) * slowness).await;
+        let run = run_time(&head.headers).unwrap_or(self.0.run) * slowness;
+        // Even a sleep of nothing would last until the timer's next millisecond.
+        if !run.is_zero() {
+            tokio::time::sleep(run).await;
+        }
         self.note(|ledger| ledger.finished += 1);
         drop(running);
         let answer = match body.is_empty() {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! For tests and benchmarks only; nothing here runs in production.
 
+pub mod cost;
 pub mod deployment;
 pub mod fleet;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use oleanderspan_lab::{
+    cost,
     deployment::{Deployment, Ports},
     fleet,
     load::{self, Offer},
@@ -24,6 +25,7 @@
     Fleet(Fleet),
     Sample(Sample),
     Load(Load),
+    Cost(Cost),
 }
 
 /// Run a stand-in for the platform's table, objects and list of servers.
@@ -129,6 +131,30 @@
     }
 }
 
+/// Measure what the entry hosts of a running deployment add to a call, and what a core carries.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "cost")]
+struct Cost {
+    /// cuprul or bureau
+    #[argh(option)]
+    deployment: String,
+    /// the first port
+    #[argh(option, default = "7000")]
+    base_port: u16,
+    /// process id of an entry daemon; one for each that runs
+    #[argh(option)]
+    pid: Vec<u32>,
+}
+
+impl Cost {
+    async fn run(&self) -> io::Result<()> {
+        let deployment = find(&self.deployment)?;
+        let ports = Ports { base: self.base_port };
+        println!("{}", cost::run(deployment, ports, &self.pid).await?);
+        Ok(())
+    }
+}
+
 fn find(name: &str) -> io::Result<&'static Deployment> {
     Deployment::find(name).ok_or_else(|| io::Error::other("--deployment: wanted cuprul or bureau"))
 }
@@ -144,6 +170,7 @@
             Command::Fleet(fleet) => fleet::run(&fleet.file).await,
             Command::Sample(sample) => sample.run(),
             Command::Load(load) => load.run().await,
+            Command::Cost(cost) => cost.run().await,
         }
     };
     match runtime.and_then(|runtime| runtime.block_on(run)) {
