Decide claims in the request aggregate and walk all interleavings

Cause: keyed requests were dispatched without a claim, so a repetition through another host ran twice.

Change: Attempt and Settlement decide each step of a claim without I/O; Table is the port to the row. An unanswered write is read back and, if it is not there, replaced by a tombstone with the same precondition.

Seen to fail without each mechanism: no tombstone; an unanswered claim taken as written; another's claim run; a settlement that doesn't look whose claim it releases; an abandoned claim that isn't settled.

--- a/crates/oleanderspan/src/request/claim.rs
+++ b/crates/oleanderspan/src/request/claim.rs
@@ -1,12 +1,28 @@
 //! Claims of idempotency keys, so that a request runs at most once over all hosts.
+//!
+//! A claim is one row of the platform's table. It never expires: a host that is paused for any
+//! time and wakes is still the only one that may run the request. What a host does after each
+//! answer of the table, or after none, is decided by an [`Attempt`] and a [`Settlement`], which
+//! know neither sockets nor clocks; [`table::Table`] is how they reach the row.
+
+pub mod attempt;
+pub mod settlement;
+pub mod table;
 
 use std::fmt;
 
 use crate::prelude::*;
 
+pub use attempt::{Attempt, Verdict};
+pub use settlement::Settlement;
+pub use table::{Expect, Reply, Row, Step, Table, Write};
+
 /// The longest idempotency key accepted, in bytes.
 pub const MAX_KEY_BYTES: usize = 255;
 
+/// The largest body of an answer that is kept for repetitions, in bytes.
+pub const MAX_KEPT_BYTES: usize = 64 << 10;
+
 /// An idempotency key that a caller chose, of 1 to 255 visible ASCII characters.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Key(Arc<str>);
--- /dev/null
+++ b/crates/oleanderspan/src/request/claim/settlement.rs
@@ -0,0 +1,79 @@
+//! What has to be written of a claim after its request was answered or refused.
+
+use crate::request::claim::{Claim, Expect, Reply, Row, State, Step, Write};
+
+value! {
+    /// Brings the row of a claim to its final state, however often the table fails meanwhile.
+    pub struct Settlement {
+        claim: Claim,
+        expect: Expect,
+        phase: Phase,
+    }
+
+    /// Which reply is awaited.
+    enum Phase {
+        /// None yet.
+        New,
+        /// That of the write.
+        Writing,
+        /// The row.
+        Reading,
+        /// The end of a wait.
+        Waiting,
+    }
+}
+
+impl Settlement {
+    /// Records how a claimed request ended; the claim has `version`.
+    pub fn record(operation: &str, digest: &str, version: u64, state: State) -> Settlement {
+        let claim = Claim { operation: operation.into(), digest: digest.into(), state };
+        Settlement { claim, expect: Expect::Version(version), phase: Phase::New }
+    }
+
+    /// Takes back a claim with the precondition `expect` that may have landed or may yet.
+    pub fn abandon(operation: &str, digest: &str, expect: Expect) -> Settlement {
+        let state = State::Released;
+        let claim = Claim { operation: operation.into(), digest: digest.into(), state };
+        Settlement { claim, expect, phase: Phase::Waiting }
+    }
+
+    /// The first step.
+    pub fn start(&mut self) -> Step {
+        match self.phase {
+            Phase::New => self.write(self.expect),
+            _ => self.wait(),
+        }
+    }
+
+    /// The step that follows a reply, or `None` at the end.
+    pub fn take(&mut self, reply: Reply) -> Option<Step> {
+        match reply {
+            Reply::Written => None,
+            Reply::Conflict | Reply::Waited => {
+                self.phase = Phase::Reading;
+                Some(Step::Read)
+            }
+            Reply::Away | Reply::Unanswered => Some(self.wait()),
+            Reply::Read(row) => self.judge(row.as_ref()),
+        }
+    }
+
+    fn judge(&mut self, row: Option<&Row>) -> Option<Step> {
+        if self.expect.holds(row) {
+            return Some(self.write(self.expect));
+        }
+        let row = row?;
+        let is_held = row.claim.operation == self.claim.operation && row.claim.state == State::Held;
+        is_held.then(|| self.write(Expect::Version(row.version)))
+    }
+
+    fn write(&mut self, expect: Expect) -> Step {
+        self.phase = Phase::Writing;
+        Step::Write(Write { expect, claim: self.claim.clone() })
+    }
+
+    fn wait(&mut self) -> Step {
+        self.phase = Phase::Waiting;
+        Step::Wait
+    }
+}
--- /dev/null
+++ b/crates/oleanderspan/tests/claim_model.rs
@@ -0,0 +1,231 @@
+//! Walks every interleaving of a small model of claims: two hosts, one of which starts anew, one
+//! key, a table that loses answers and lets writes land late, pauses of any length and crashes.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::{
+    collections::{HashSet, VecDeque},
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+use oleanderspan::request::{
+    Outcome, Refusal,
+    claim::{Answer, Attempt, Reply, Row, Settlement, State, Step, Verdict, Write},
+};
+
+/// Arrivals of the key: at host a, at host b, and at host a after its restart.
+const ARRIVALS: [&str; 3] = ["a1", "b1", "a2"];
+
+/// What may go wrong in one run of the model.
+const MAX_LATE_WRITES: usize = 2;
+const MAX_CRASHES: u8 = 1;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    Idle,
+    Claiming(Attempt, Step),
+    Claimed(u64),
+    Running(u64),
+    Settling(Settlement, Step, Outcome),
+    Ended(Outcome),
+    Crashed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct World {
+    row: Option<Row>,
+    /// Writes on their way, which may land at any time or never.
+    late: Vec<Write>,
+    late_left: usize,
+    crashes_left: u8,
+    stages: [Stage; 3],
+    dispatches: [u8; 3],
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            row: None,
+            late: Vec::new(),
+            late_left: MAX_LATE_WRITES,
+            crashes_left: MAX_CRASHES,
+            stages: [Stage::Idle, Stage::Idle, Stage::Idle],
+            dispatches: [0; 3],
+        }
+    }
+
+    fn land(&mut self, write: &Write) -> Reply {
+        if !write.expect.holds(self.row.as_ref()) {
+            return Reply::Conflict;
+        }
+        self.row = Some(Row { version: write.expect.next(), claim: write.claim.clone() });
+        Reply::Written
+    }
+
+    /// Every world that the table may turn this one into by a step, with what it replies.
+    fn replies(&self, step: &Step) -> Vec<(World, Reply)> {
+        let write = match step {
+            Step::Wait => return vec![(self.clone(), Reply::Waited)],
+            Step::Read => {
+                let read = Reply::Read(self.row.clone());
+                return vec![(self.clone(), read), (self.clone(), Reply::Unanswered)];
+            }
+            Step::Write(write) => write,
+        };
+        let mut landed = self.clone();
+        let reply = landed.land(write);
+        let lost = landed.clone();
+        let mut replies =
+            vec![(landed, reply), (lost, Reply::Unanswered), (self.clone(), Reply::Away)];
+        if self.late_left > 0 {
+            let mut late = self.clone();
+            late.late_left -= 1;
+            late.late.push(write.clone());
+            replies.push((late, Reply::Unanswered));
+        }
+        replies
+    }
+
+    fn next(&self) -> Vec<World> {
+        let mut worlds: Vec<World> = (0..3).flat_map(|i| self.next_of(i)).collect();
+        for i in 0..self.late.len() {
+            let mut world = self.clone();
+            let write = world.late.remove(i);
+            world.land(&write);
+            worlds.push(world);
+        }
+        worlds
+    }
+
+    fn next_of(&self, i: usize) -> Vec<World> {
+        let mut worlds = Vec::new();
+        let mut push = |mut world: World, stage: Stage| {
+            world.stages[i] = stage;
+            worlds.push(world);
+        };
+        match &self.stages[i] {
+            // The second arrival at host a is one after its crash.
+            Stage::Idle if i == 2 && self.stages[0] != Stage::Crashed => {}
+            Stage::Idle => {
+                let mut attempt = Attempt::new(ARRIVALS[i], "digest");
+                let step = attempt.start();
+                push(self.clone(), Stage::Claiming(attempt, step));
+            }
+            Stage::Claiming(attempt, step) => {
+                for (world, reply) in self.replies(step) {
+                    let mut attempt = attempt.clone();
+                    let stage = match attempt.take(reply) {
+                        Ok(step) => Stage::Claiming(attempt, step),
+                        Err(verdict) => after(verdict),
+                    };
+                    push(world, stage);
+                }
+            }
+            Stage::Claimed(version) => {
+                let mut dispatched = self.clone();
+                dispatched.dispatches[i] += 1;
+                push(dispatched, Stage::Running(*version));
+                push(self.clone(), record(i, *version, State::Released, Outcome::NotRun));
+            }
+            Stage::Running(version) => {
+                push(self.clone(), record(i, *version, State::Done(answer()), Outcome::Done));
+                push(self.clone(), Stage::Ended(Outcome::Unknown));
+            }
+            Stage::Settling(settlement, step, outcome) => {
+                for (world, reply) in self.replies(step) {
+                    let mut settlement = settlement.clone();
+                    let stage = match settlement.take(reply) {
+                        Some(step) => Stage::Settling(settlement, step, *outcome),
+                        None => Stage::Ended(*outcome),
+                    };
+                    push(world, stage);
+                }
+            }
+            Stage::Ended(_) | Stage::Crashed => return worlds,
+        }
+        if self.crashes_left > 0 && self.stages[i] != Stage::Idle {
+            let mut crashed = self.clone();
+            crashed.crashes_left -= 1;
+            push(crashed, Stage::Crashed);
+        }
+        worlds
+    }
+
+    fn check(&self) {
+        let dispatched: u8 = self.dispatches.iter().sum();
+        assert!(dispatched <= 1, "dispatched {dispatched} times: {self:#?}");
+        for (i, stage) in self.stages.iter().enumerate() {
+            let told = match stage {
+                Stage::Settling(_, _, outcome) | Stage::Ended(outcome) => *outcome,
+                _ => continue,
+            };
+            if told == Outcome::Done {
+                assert_eq!(dispatched, 1, "told done, not dispatched: {self:#?}");
+            }
+            if told == Outcome::NotRun {
+                assert_eq!(self.dispatches[i], 0, "told not run, dispatched: {self:#?}");
+            }
+            if *stage == Stage::Ended(Outcome::NotRun) {
+                self.check_released(ARRIVALS[i]);
+            }
+        }
+    }
+
+    /// A key whose request was refused for good must neither be held nor become held later.
+    fn check_released(&self, operation: &str) {
+        let holds = |claim: &oleanderspan::request::Claim| {
+            &*claim.operation == operation && claim.state == State::Held
+        };
+        let held = self.row.as_ref().is_some_and(|row| holds(&row.claim));
+        assert!(!held, "held by a refused request: {self:#?}");
+        let mut late = self.late.iter().filter(|write| holds(&write.claim));
+        let lands = late.any(|write| write.expect.holds(self.row.as_ref()));
+        assert!(!lands, "a refused request may yet hold the key: {self:#?}");
+    }
+}
+
+fn answer() -> Answer {
+    Answer { status: 200, content_type: None, body: Some(Vec::new()) }
+}
+
+fn record(i: usize, version: u64, state: State, outcome: Outcome) -> Stage {
+    settling(Settlement::record(ARRIVALS[i], "digest", version, state), outcome)
+}
+
+fn settling(mut settlement: Settlement, outcome: Outcome) -> Stage {
+    let step = settlement.start();
+    Stage::Settling(settlement, step, outcome)
+}
+
+fn after(verdict: Verdict) -> Stage {
+    match verdict {
+        Verdict::Run { version } => Stage::Claimed(version),
+        Verdict::Answer(_) => Stage::Ended(Outcome::Done),
+        Verdict::Refuse(refusal) => Stage::Ended(refusal.outcome()),
+        Verdict::Abandon(settlement) => settling(settlement, Refusal::StoreAway.outcome()),
+    }
+}
+
+fn fingerprint(world: &World) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    format!("{world:?}").hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The model is walked to its end: no world is left that was not visited.
+#[test]
+fn every_interleaving_dispatches_at_most_once() {
+    let mut seen = HashSet::new();
+    let mut open = VecDeque::from([(World::new(), 0)]);
+    let mut depth = 0;
+    while let Some((world, steps)) = open.pop_front() {
+        if !seen.insert(fingerprint(&world)) {
+            continue;
+        }
+        world.check();
+        depth = depth.max(steps);
+        open.extend(world.next().into_iter().map(|next| (next, steps + 1)));
+    }
+    println!("{} worlds, at most {depth} steps from the first", seen.len());
+    assert!(depth >= 20, "the model was not walked: {depth} steps");
+}
