Claim keyed requests before they run

Cause: a request with an Idempotency-Key ran once for each host that it came through: 8 runs for one key sent to 8 hosts.

Change: a request that must not be repeated and carries a key is claimed in the table first, by a task of its own that a caller's disconnect doesn't end; the outcome is recorded afterwards. The platform stand-in can lose the next answers and land the next writes late.

A claim whose host dies between claim and record stays held for ever: answered 409, unknown.

--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -33,6 +33,12 @@
     pub delay_ms: u64,
     /// Lose the answers of this share of writes after they took effect, in percent.
     pub lost_answers_percent: u8,
+    /// Lose the answers of so many of the next writes after they took effect.
+    pub lose_next_answers: u32,
+    /// Let so many of the next writes take effect late, without an answer.
+    pub late_next_writes: u32,
+    /// How late they take effect.
+    pub late_ms: u64,
     /// Serve the list of servers as it was this long ago.
     pub list_lag_ms: u64,
 }
@@ -42,6 +48,8 @@
 pub struct Counts {
     /// Transactions.
     pub transactions: u64,
+    /// Rows that transactions wrote.
+    pub rows: u64,
     /// Reads of rows and scans.
     pub reads: u64,
     /// Objects stored or read.
@@ -106,6 +114,15 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a fault strikes that has a number of times left.
+    fn take_fault(&self, left: impl FnOnce(&mut Faults) -> &mut u32) -> bool {
+        let mut inner = self.lock();
+        let left = left(&mut inner.faults);
+        let strikes = *left > 0;
+        *left = left.saturating_sub(1);
+        strikes
+    }
+
     fn transact(&self, transaction: &Transaction) -> Result<(), Conflict> {
         let mut inner = self.lock();
         inner.counts.transactions += 1;
@@ -123,6 +140,7 @@
             let version = inner.rows.get(&write.key).map_or(0, |row| row.version) + 1;
             let row = Row { key: write.key.clone(), version, value: write.value.clone() };
             inner.rows.insert(write.key.clone(), row);
+            inner.counts.rows += 1;
         }
         Ok(())
     }
@@ -226,9 +244,20 @@
         if faults.away {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let answer = self.call(&head.method, head.uri.path(), &body);
         let is_write = head.uri.path() == "/v1/table/transact";
-        if is_write && rand::random_range(0..100) < faults.lost_answers_percent {
+        if is_write && self.take_fault(|faults| &mut faults.late_next_writes) {
+            let (platform, late) = (self.clone(), Duration::from_millis(faults.late_ms));
+            tokio::spawn(async move {
+                tokio::time::sleep(late).await;
+                platform.call(&Method::POST, "/v1/table/transact", &body);
+            });
+            std::future::pending::<()>().await;
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let answer = self.call(&head.method, head.uri.path(), &body);
+        let by_chance = rand::random_range(0..100) < faults.lost_answers_percent;
+        let is_lost = || by_chance || self.take_fault(|faults| &mut faults.lose_next_answers);
+        if is_write && is_lost() {
             std::future::pending::<()>().await;
         }
         answer
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -239,15 +239,29 @@
         builder: http::request::Builder,
         body: Bytes,
     ) -> Result<Answer, Error> {
-        let mut request = builder.body(Body::from(body)).unwrap();
-        let path = request.uri().path_and_query().unwrap().clone();
-        *request.uri_mut() = format!("http://{address}{path}").parse().unwrap();
-        let whole = async {
-            let (head, body) = self.client.send(request).await?.into_parts();
-            let body = body.collect().await.map_err(|error| Error::Broken(error.to_string()))?;
-            Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
-        };
-        tokio::time::timeout(PATIENCE, whole).await.unwrap_or(Err(Error::TimedOut))
+        self.client_send(address, builder, body).await
+    }
+
+    /// A request as [`Bench::send`] sends it, that can go on while the bench is changed.
+    pub fn client_send(
+        &self,
+        address: SocketAddr,
+        builder: http::request::Builder,
+        body: Bytes,
+    ) -> impl Future<Output = Result<Answer, Error>> + Send + 'static {
+        let client = self.client.clone();
+        async move {
+            let mut request = builder.body(Body::from(body)).unwrap();
+            let path = request.uri().path_and_query().unwrap().clone();
+            *request.uri_mut() = format!("http://{address}{path}").parse().unwrap();
+            let whole = async {
+                let (head, body) = client.send(request).await?.into_parts();
+                let body =
+                    body.collect().await.map_err(|error| Error::Broken(error.to_string()))?;
+                Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+            };
+            tokio::time::timeout(PATIENCE, whole).await.unwrap_or(Err(Error::TimedOut))
+        }
     }
 
     /// Makes the platform misbehave.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: the path of a request.
 
+pub mod claims;
 pub mod dispatch;
 pub mod feed;
 pub mod front;
@@ -35,6 +36,7 @@
         tokio::spawn(server::serve(relays, relay::Relay(state.clone()), relays_stop.clone()));
     state.drain_after(stop.clone()).await;
     server::serve(callers, front::Front(state.clone()), state.closed()).await;
+    state.claims.drain().await;
     relays_stop.cancel();
     let _ = relay.await;
     feed.abort();
--- /dev/null
+++ b/crates/node/src/entry/claims.rs
@@ -0,0 +1,208 @@
+//! Claims of requests that run at most once: the adapter between the rules in
+//! [`oleanderspan::request::claim`], the platform's table and the path of a request.
+//!
+//! A claimed request runs in a task of its own, so that neither its outcome nor its claim is lost
+//! when the caller goes away.
+
+pub mod batch;
+pub mod body;
+pub mod place;
+pub mod read;
+pub mod row;
+pub mod write;
+
+use http::request;
+use hyper::body::Incoming;
+use oleanderspan::{
+    document,
+    prelude::*,
+    request::{
+        Key, Outcome, Refusal,
+        claim::{Attempt, MAX_KEPT_BYTES, Settlement, State as Progress, Verdict, table},
+    },
+};
+use tokio::{sync::mpsc, task::JoinHandle};
+use tokio_util::task::TaskTracker;
+
+use crate::{
+    entry::{
+        State,
+        claims::{batch::Limits, place::Place},
+        dispatch::{Answer, Call},
+        parcel::Parcel,
+        state::Snapshot,
+        steer,
+    },
+    http::header as names,
+    store::Store,
+};
+
+/// Writes and reads that may wait for the next batch; more are refused.
+const QUEUE_TICKETS: usize = 4_096;
+
+/// Transactions of a host: 8 hosts make at most 320 a second.
+pub const WRITES: Limits = Limits { spacing: Duration::from_millis(25), rows: 256 };
+
+/// Reads of a host: 8 hosts make at most 800 a second.
+const READS: Limits = Limits { spacing: Duration::from_millis(10), rows: 256 };
+
+/// Outcomes that may wait to be recorded; beyond them the bodies of answers are not kept.
+const MAX_OPEN_TASKS: usize = 2_048;
+
+/// The longest wait for open claims at a planned stop.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+
+/// The way to the table that all claims of a host share; cloning it is cheap.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    writes: mpsc::Sender<write::Ticket>,
+    reads: mpsc::Sender<read::Ticket>,
+    tasks: TaskTracker,
+    environment: Arc<str>,
+    host: Arc<str>,
+}
+
+/// A request that is to be claimed.
+#[derive(Debug)]
+pub struct Request {
+    /// The key that the caller gave it.
+    pub key: Key,
+    /// A digest of method, path and body.
+    pub digest: String,
+    /// The request, its body in memory.
+    pub parcel: Parcel,
+}
+
+impl Claims {
+    /// Starts the tasks that batch writes and reads.
+    pub fn start(store: &Store, environment: &document::Environment, host: &str) -> Claims {
+        Claims::with_limits(store, environment.as_str(), host, WRITES)
+    }
+
+    /// Starts with other limits of writes, for measures.
+    pub fn with_limits(store: &Store, environment: &str, host: &str, limits: Limits) -> Claims {
+        let (writes, queued_writes) = mpsc::channel(QUEUE_TICKETS);
+        let (reads, queued_reads) = mpsc::channel(QUEUE_TICKETS);
+        tokio::spawn(batch::run::<write::Batch>(store.clone(), queued_writes, limits));
+        tokio::spawn(batch::run::<read::Batch>(store.clone(), queued_reads, READS));
+        let tasks = TaskTracker::new();
+        Claims { writes, reads, tasks, environment: environment.into(), host: host.into() }
+    }
+
+    /// The name of the row of a claim.
+    pub fn row_key(&self, service: &str, key: &Key) -> String {
+        format!("claim/{}/{service}/{}", self.environment, key.as_str())
+    }
+
+    /// An operation that no other arrival has.
+    pub fn operation(&self) -> String {
+        format!("{}-{:032x}", self.host, rand::random::<u128>())
+    }
+
+    /// The environment of the claims.
+    pub fn environment(&self) -> &str {
+        &self.environment
+    }
+
+    /// Runs a task that goes on when the caller has gone, and that a planned stop waits for.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        task: impl Future<Output = T> + Send + 'static,
+    ) -> JoinHandle<T> {
+        self.tasks.spawn(task)
+    }
+
+    /// Settles a claim in the background.
+    pub fn settle<T: table::Table + Send + Sync + 'static>(
+        &self,
+        table: T,
+        settlement: Settlement,
+    ) {
+        self.tasks.spawn(async move { table::settle(&table, settlement).await });
+    }
+
+    /// Whether bodies of answers are kept; a table that is away long must not fill the memory.
+    pub fn keeps_bodies(&self) -> bool {
+        self.tasks.len() < MAX_OPEN_TASKS
+    }
+
+    /// Waits for the open claims at a planned stop, but not for a table that is away.
+    pub async fn drain(&self) {
+        self.tasks.close();
+        let _ = tokio::time::timeout(DRAIN_LIMIT, self.tasks.wait()).await;
+    }
+}
+
+/// Answers a request that carries a key and whose repetition is forbidden.
+pub async fn request(
+    state: &State,
+    snapshot: Arc<Snapshot>,
+    call: Call<'_>,
+    head: request::Parts,
+    body: Incoming,
+) -> Result<Answer, Refusal> {
+    let key = names::text(&head.headers, &names::IDEMPOTENCY_KEY).ok_or(Refusal::Malformed)?;
+    let key = Key::try_from(key).map_err(|_| Refusal::Malformed)?;
+    let left = call.left(state.clock.now())?;
+    let body = tokio::time::timeout(left, body::buffer(body)).await;
+    let body = body.map_err(|_| Refusal::Expired)??;
+    let digest = body::digest(&head, &body);
+    let request = Request { key, digest, parcel: Parcel::buffered(head, body) };
+    let id = call.id.to_owned();
+    let (service, region, repeat, deadline) =
+        (call.service, call.region, call.repeat, call.deadline);
+    let runner = state.clone();
+    let task = state.claims.spawn(async move {
+        let call = Call { id: &id, service, region, repeat, deadline };
+        claim_and_run(&runner, snapshot, call, request).await
+    });
+    task.await.unwrap_or(Err(Refusal::Broken))
+}
+
+async fn claim_and_run(
+    state: &State,
+    snapshot: Arc<Snapshot>,
+    call: Call<'_>,
+    request: Request,
+) -> Result<Answer, Refusal> {
+    let claims = &state.claims;
+    let service = snapshot.described(call.service).name.as_str();
+    let place = Place::new(claims.clone(), claims.row_key(service, &request.key));
+    let operation = claims.operation();
+    let mut attempt = Attempt::new(&operation, &request.digest);
+    let version = match table::claim(&place, &mut attempt).await {
+        Verdict::Run { version } => version,
+        Verdict::Answer(answer) => return Ok(body::kept(answer)),
+        Verdict::Refuse(refusal) => return Err(refusal),
+        Verdict::Abandon(settlement) => {
+            claims.settle(place, settlement);
+            return Err(Refusal::StoreAway);
+        }
+    };
+    let (answered, progress) = run(state, snapshot, call, request.parcel).await;
+    if let Some(progress) = progress {
+        let digest = &request.digest;
+        claims.settle(place, Settlement::record(&operation, digest, version, progress));
+    }
+    answered
+}
+
+/// Runs a request whose claim is held; also returns what to record of it. Nothing is recorded
+/// while it is unknown whether it ran, so that the key stays held for ever.
+pub async fn run(
+    state: &State,
+    snapshot: Arc<Snapshot>,
+    call: Call<'_>,
+    mut parcel: Parcel,
+) -> (Result<Answer, Refusal>, Option<Progress>) {
+    let answer = match steer::steer(state, snapshot, call, &mut parcel).await {
+        Ok(answer) => answer,
+        Err(refusal) if refusal.outcome() == Outcome::NotRun => {
+            return (Err(refusal), Some(Progress::Released));
+        }
+        Err(refusal) => return (Err(refusal), None),
+    };
+    let limit = if state.claims.keeps_bodies() { MAX_KEPT_BYTES } else { 0 };
+    let (answered, kept) = body::collect(answer, limit).await;
+    (answered, Some(Progress::Done(kept)))
+}
--- /dev/null
+++ b/crates/node/src/entry/claims/place.rs
@@ -0,0 +1,90 @@
+//! The row of one claim, reached through the batches that all claims of a host share.
+
+use oleanderspan::{
+    prelude::*,
+    request::claim::{self, Reply, Table},
+};
+
+use crate::{
+    entry::claims::{Claims, read, row, write},
+    store::{Error, Expect, Row, Write},
+};
+
+/// The mean wait before a step is tried again.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// The row of one claim.
+#[derive(Clone, Debug)]
+pub struct Place {
+    claims: Claims,
+    key: String,
+}
+
+impl Place {
+    /// The row of that key.
+    pub fn new(claims: Claims, key: String) -> Place {
+        Place { claims, key }
+    }
+
+    /// The write of this row, for a transaction.
+    pub fn write_of(&self, write: &claim::Write) -> Write {
+        let value = row::encode(&write.claim);
+        Write { key: self.key.clone(), expect: write.expect.into(), value }
+    }
+}
+
+impl Claims {
+    /// Writes rows together, in a batch with the writes of others; never twice.
+    pub async fn transact(&self, writes: Vec<Write>) -> Reply {
+        let (ticket, reply) = write::Ticket::new(writes);
+        // What finds no place was not sent.
+        if self.writes.try_send(ticket).is_err() {
+            return Reply::Away;
+        }
+        reply.await.unwrap_or(Reply::Unanswered)
+    }
+
+    /// Reads one row, in a batch with the reads of others.
+    pub async fn read(&self, key: &str) -> Result<Option<Row>, Error> {
+        let full = || Error::Away("too many reads wait".to_owned());
+        let (ticket, row) = read::Ticket::new(key);
+        self.reads.try_send(ticket).map_err(|_| full())?;
+        row.await.unwrap_or_else(|_| Err(full()))
+    }
+}
+
+impl From<claim::Expect> for Expect {
+    fn from(expect: claim::Expect) -> Expect {
+        match expect {
+            claim::Expect::Absent => Expect::Absent,
+            claim::Expect::Version(version) => Expect::Version(version),
+        }
+    }
+}
+
+/// Waits a while, with jitter, so that hosts do not return to the table all at once.
+pub async fn pause() -> Reply {
+    tokio::time::sleep(PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+    Reply::Waited
+}
+
+impl Table for Place {
+    async fn write(&self, write: claim::Write) -> Reply {
+        self.claims.transact(vec![self.write_of(&write)]).await
+    }
+
+    async fn read(&self) -> Reply {
+        let row = match self.claims.read(&self.key).await {
+            Ok(row) => row,
+            Err(_) => return Reply::Unanswered,
+        };
+        let decoded = row.map(|row| {
+            row::decode(&row.value).map(|claim| claim::Row { version: row.version, claim })
+        });
+        decoded.transpose().map_or(Reply::Unanswered, Reply::Read)
+    }
+
+    async fn wait(&self) -> Reply {
+        pause().await
+    }
+}
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -12,7 +12,7 @@
 use crate::{
     codec,
     entry::{
-        State,
+        State, claims,
         dispatch::{Answer, Call},
         parcel::Parcel,
         refusal,
@@ -108,6 +108,9 @@
         names::strip_hop_by_hop(&mut head.headers);
         names::strip_internal(&mut head.headers);
         head.headers.insert(names::REQUEST_ID, names::value(id));
+        if call.repeat == Repeat::Forbidden && head.headers.contains_key(names::IDEMPOTENCY_KEY) {
+            return claims::request(state, snapshot, call, head, body).await;
+        }
         let mut parcel = Parcel::streamed(head, body);
         steer::steer(state, snapshot, call, &mut parcel).await
     }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,10 +11,11 @@
 
 use crate::{
     clock::Monotonic,
-    entry::slot,
+    entry::{claims::Claims, slot},
     http::client::{Client, Protocol},
     metrics,
     settings::Settings,
+    store::Store,
     wire,
 };
 
@@ -42,6 +43,8 @@
     pub peers: Client,
     /// Connections to the own control daemon.
     pub control: Client,
+    /// Claims of requests that run at most once.
+    pub claims: Claims,
     /// The log.
     pub log: Logger,
     /// The metrics.
@@ -64,7 +67,10 @@
     /// The state of a daemon that has no snapshot yet.
     pub fn start(settings: &Settings, log: Logger) -> io::Result<State> {
         let (observed, observations) = mpsc::channel(QUEUE_OBSERVATIONS);
+        let store = Store::new(&settings.platform);
+        let host = settings.host.name.as_str();
         Ok(State(Arc::new(Shared {
+            claims: Claims::start(&store, &settings.environment, host),
             name: settings.host.name.clone(),
             clock: Monotonic::start(),
             servers: Client::new(Protocol::Http1),
