Let the first sign of leaving hold everywhere, and stop an entry host in the order of its callers

Cause: a server that was leaving was noticed only by the header of an answer or by the list; and SIGTERM closed the caller port of an entry host at once, while callers still held locate answers that name it. Change: the dispatching host asks /health of its servers each 500 ms (jittered, 400 ms limit); the header or three bare 503 in a row are a sign, and no answer ever takes a sign back. Signs go host to host by bounded piggyback and a digest. entry::stop: tell control, leave own and other hosts' locate answers, serve for 3 s and the document's max_age, ask for the end of connections for 1 s, close, finish what is in flight; a host that leaves still takes what is relayed to it.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -70,6 +70,8 @@
     in_flight: AtomicU32,
     peak: AtomicU32,
     leaving: AtomicBool,
+    lies: AtomicBool,
+    quiet: AtomicBool,
     slowness: AtomicU64,
     ledger: Mutex<Ledger>,
 }
@@ -103,6 +105,8 @@
             in_flight: AtomicU32::new(0),
             peak: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            lies: AtomicBool::new(false),
+            quiet: AtomicBool::new(false),
             slowness: AtomicU64::new(1),
             ledger: Mutex::default(),
         }))
@@ -113,6 +117,17 @@
         self.0.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Makes the server say that it is leaving by the status of its health endpoint alone.
+    pub fn leave_quietly(&self) {
+        self.0.quiet.store(true, Ordering::SeqCst);
+        self.leave();
+    }
+
+    /// Makes the health endpoint say that all is well, whatever is true.
+    pub fn lie(&self) {
+        self.0.lies.store(true, Ordering::SeqCst);
+    }
+
     /// Makes every request run `factor` times longer.
     pub fn slow_down(&self, factor: u64) {
         self.0.slowness.store(factor, Ordering::SeqCst);
@@ -165,7 +180,8 @@
     }
 
     fn finish(&self, mut response: Response<Body>) -> Response<Body> {
-        if self.0.leaving.load(Ordering::SeqCst) {
+        let shows = !self.0.quiet.load(Ordering::SeqCst);
+        if shows && self.0.leaving.load(Ordering::SeqCst) {
             response.headers_mut().insert(names::LEAVING, HeaderValue::from_static("true"));
         }
         response
@@ -179,6 +195,9 @@
 
     fn health(&self) -> Response<Body> {
         let mut response = Response::new(Body::empty());
+        if self.0.lies.load(Ordering::SeqCst) {
+            return response;
+        }
         if self.0.leaving.load(Ordering::SeqCst) {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
@@ -203,6 +222,14 @@
                 self.leave();
                 return self.health();
             }
+            "/lab/leave-quietly" => {
+                self.leave_quietly();
+                return self.health();
+            }
+            "/lab/lie" => {
+                self.lie();
+                return self.health();
+            }
             _ => {}
         }
         match body.collect().await {
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses its own part")]
 
+pub mod callers;
+
 use std::{
     env, fs,
     net::{SocketAddr, UdpSocket},
@@ -13,10 +15,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
+use oleanderspan::entry::rank;
 use oleanderspan_lab::{
     deployment::{Deployment, Ports},
     fleet::Ledger,
-    platform::Faults,
+    platform::{Counts, Faults},
     sample,
 };
 use oleanderspan_node::{
@@ -25,6 +28,7 @@
         Body,
         client::{Client, Error, Protocol},
     },
+    store::Listed,
 };
 
 /// Longest time for a deployment to come up, or for a condition to hold.
@@ -264,6 +268,67 @@
         serde_json::from_slice(&answer.body).unwrap()
     }
 
+    /// Makes a backend server leave.
+    pub async fn leave(&self, server: u16) {
+        self.get(self.ports.server(server), "-", "/lab/leave").await.unwrap();
+    }
+
+    /// Makes a backend server leave, shown by the status of its health endpoint alone.
+    pub async fn leave_quietly(&self, server: u16) {
+        self.get(self.ports.server(server), "-", "/lab/leave-quietly").await.unwrap();
+    }
+
+    /// Makes the health endpoint of a backend server say that all is well.
+    pub async fn lie(&self, server: u16) {
+        self.get(self.ports.server(server), "-", "/lab/lie").await.unwrap();
+    }
+
+    /// Changes what the platform lists of a backend server.
+    pub async fn register(&self, listed: &Listed) {
+        let body = serde_json::to_vec(listed).unwrap();
+        let answer =
+            self.send(self.ports.platform(), Request::post("/lab/servers"), body.into()).await;
+        assert_eq!(answer.unwrap().status, StatusCode::NO_CONTENT);
+    }
+
+    /// Calls that the platform has answered.
+    pub async fn counts(&self) -> Counts {
+        let answer = self.get(self.ports.platform(), "-", "/lab/counts").await.unwrap();
+        serde_json::from_slice(&answer.body).unwrap()
+    }
+
+    /// The number of a backend server, by its name.
+    pub fn server(&self, name: &str) -> u16 {
+        let listed = self.deployment.listed(self.ports);
+        u16::try_from(listed.iter().position(|server| server.name == name).unwrap()).unwrap()
+    }
+
+    /// Sends a signal to a daemon of every host: with `STOP` to all control daemons, the
+    /// exchange is cut.
+    pub fn signal_all(&mut self, daemon: Daemon, signal: &str) {
+        for host in 1..=self.count() {
+            self.signal(host, daemon, signal);
+        }
+    }
+
+    /// The hosts that a locate answer of a host names, for callers near that host.
+    pub async fn located(&self, host: u16) -> Vec<SocketAddr> {
+        let path = "/.well-known/oleanderspan/locate";
+        let answer = self.get(self.ports.caller(host), "-", path).await.unwrap();
+        let answer: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        let hosts = answer["hosts"].as_array().unwrap().iter();
+        hosts.map(|host| host.as_str().unwrap().parse().unwrap()).collect()
+    }
+
+    /// The host that dispatches for a service in a region while all hosts are live.
+    pub fn dispatcher(&self, service: &str, region: &str) -> u16 {
+        let hosts = self.deployment.hosts();
+        let near = hosts.iter().enumerate().filter(|(_, host)| host.zone.starts_with(region));
+        let near: Vec<(usize, &str)> = near.map(|(i, host)| (i, host.name.as_str())).collect();
+        let first = rank::first(&near, &format!("{service}/{region}"), |(_, name)| name).unwrap();
+        u16::try_from(first.0 + 1).unwrap()
+    }
+
     /// How often a request ran, over all servers, by its key or id.
     pub async fn runs(&self, key: &str) -> u32 {
         let mut runs = 0;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -4,12 +4,14 @@
 pub mod dispatch;
 pub mod feed;
 pub mod front;
+pub mod health;
 pub mod parcel;
 pub mod refusal;
 pub mod relay;
 pub mod slot;
 pub mod state;
 pub mod steer;
+pub mod stop;
 
 use std::io;
 
@@ -35,11 +37,13 @@
     let relays_stop = CancellationToken::new();
     let relay =
         tokio::spawn(server::serve(relays, relay::Relay(state.clone()), relays_stop.clone()));
-    state.drain_after(stop.clone()).await;
-    server::serve(callers, front::Front(state.clone()), state.closed()).await;
+    let health = tokio::spawn(health::run(state.clone()));
+    tokio::spawn(stop::run(state.clone(), settings.control.peer_address, stop));
+    server::serve(callers, front::Front(state.clone()), state.stop.closed()).await;
     relays_stop.cancel();
     let _ = relay.await;
     feed.abort();
+    health.abort();
     counts.abort();
     Ok(())
 }
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -13,12 +13,12 @@
 
 use crate::{
     entry::{
+        health,
         parcel::Parcel,
         slot::{self, Lease},
         state::{Shared, Snapshot},
     },
     http::{Body, client, header as names},
-    wire,
 };
 
 /// The most attempts of one request in one region.
@@ -139,13 +139,9 @@
 }
 
 fn note_leaving(state: &Shared, server: &Server, answer: &Response<Incoming>) {
-    if !answer.headers().contains_key(names::LEAVING) || server.is_leaving() {
-        return;
+    if answer.headers().contains_key(names::LEAVING) {
+        health::note_leaving(state, server);
     }
-    server.mark_leaving();
-    let identity = &server.identity;
-    let sign = wire::Sign { server: identity.name.to_string(), incarnation: identity.incarnation };
-    state.observe(wire::Observation { leaving: vec![sign], stopping: false });
 }
 
 fn answer_of(answer: Response<Incoming>, lease: Lease) -> Answer {
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -1,6 +1,8 @@
 //! What callers ask an entry daemon: which host to use, and their requests.
 
-use http::{HeaderMap, Method, Request, Response, header, request};
+use std::borrow::Cow;
+
+use http::{HeaderMap, Method, Request, Response, Version, header, request};
 use hyper::body::Incoming;
 use oleanderspan::{
     prelude::*,
@@ -57,6 +59,7 @@
     async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Answer {
         let (head, body) = request.into_parts();
         let id = request_id(&head.headers);
+        let is_http1 = head.version <= Version::HTTP_11;
         let answered = match (head.uri.path(), &head.method) {
             (LOCATE_PATH, &Method::GET) => self.locate(&head, peer),
             (READY_PATH, &Method::GET) => self.ready(),
@@ -68,6 +71,9 @@
             refusal::response(refusal, &id, None)
         });
         answer.headers_mut().insert(names::REQUEST_ID, names::value(&id));
+        if is_http1 && self.0.stop.is_closing() {
+            answer.headers_mut().insert(header::CONNECTION, names::value("close"));
+        }
         answer
     }
 }
@@ -82,14 +88,34 @@
         };
         let answer = snapshot.locate(address).ok_or(Refusal::NotReady)?;
         let max_age_s = snapshot.draft.locate.max_age.as_secs();
-        let located = Located { hosts: &answer.addresses, max_age_s };
+        let hosts = self.without_leaving_self(&snapshot, &answer.addresses);
+        if hosts.is_empty() {
+            return Err(Refusal::NotReady);
+        }
+        let located = Located { hosts: &hosts, max_age_s };
         let mut response = json(&located);
         let cache = names::value(&format!("private, max-age={max_age_s}"));
         response.headers_mut().insert(header::CACHE_CONTROL, cache);
         Ok(response)
     }
 
+    /// The hosts of a locate answer, without this one from the moment that it was told to stop,
+    /// also if no later snapshot comes.
+    fn without_leaving_self<'a>(
+        &self,
+        snapshot: &Snapshot,
+        hosts: &'a [SocketAddr],
+    ) -> Cow<'a, [SocketAddr]> {
+        let Some(own) = snapshot.own_host().filter(|_| self.0.stop.has_begun()) else {
+            return Cow::Borrowed(hosts);
+        };
+        hosts.iter().copied().filter(|host| *host != own.caller_address).collect()
+    }
+
     fn ready(&self) -> Result<Answer, Refusal> {
+        if self.0.stop.has_begun() {
+            return Err(Refusal::NotReady);
+        }
         let snapshot = self.0.snapshot().ok_or(Refusal::NotReady)?;
         snapshot.own_host().filter(|host| host.takes_callers()).ok_or(Refusal::NotReady)?;
         let live_hosts = snapshot.hosts.iter().filter(|host| host.takes_callers()).count();
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -3,6 +3,7 @@
 use http::{HeaderMap, Request};
 use hyper::body::Incoming;
 use oleanderspan::{
+    entry::host,
     prelude::*,
     region,
     request::{Refusal, Repeat, retry::Deadline},
@@ -41,8 +42,7 @@
         let state = &self.0;
         let snapshot = state.snapshot().ok_or(Refusal::NotReady)?;
         let call = call(&snapshot, id, &parcel.head().headers, state.clock.now())?;
-        let dispatcher = snapshot.dispatcher(call.service, call.region);
-        if !dispatcher.is_some_and(|host| snapshot.is_own(host)) {
+        if !dispatches(&snapshot, &call) {
             return Err(Refusal::Misdirected);
         }
         names::strip_hop_by_hop(&mut parcel.head_mut().headers);
@@ -51,6 +51,14 @@
     }
 }
 
+/// Whether this host dispatches for the call, or did so until it began to leave: hosts that have
+/// not learned that yet may have sent a body that they cannot send again.
+fn dispatches(snapshot: &Snapshot, call: &Call<'_>) -> bool {
+    let dispatcher = snapshot.dispatcher(call.service, call.region);
+    dispatcher.is_some_and(|host| snapshot.is_own(host))
+        || snapshot.own_host().is_some_and(|host| host.state == host::State::Leaving)
+}
+
 /// Reads what the first hop decided; names are resolved here, as documents may differ.
 fn call<'a>(
     snapshot: &Snapshot,
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -7,11 +7,10 @@
 use oleanderspan::{entry, snapshot};
 use slog::Logger;
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     clock::Monotonic,
-    entry::{counters::Counters, slot},
+    entry::{counters::Counters, slot, stop::Stop},
     http::client::{Client, Protocol},
     metrics,
     settings::Settings,
@@ -48,10 +47,11 @@
     pub metrics: Arc<StatsdClient>,
     /// What requests count.
     pub counters: Counters,
+    /// How far a planned stop has come.
+    pub stop: Stop,
     snapshot: ArcSwapOption<Snapshot>,
     observed: mpsc::Sender<wire::Observation>,
     observations: tokio::sync::Mutex<mpsc::Receiver<wire::Observation>>,
-    closed: CancellationToken,
 }
 
 impl std::ops::Deref for State {
@@ -78,23 +78,9 @@
             snapshot: ArcSwapOption::empty(),
             observed,
             observations: tokio::sync::Mutex::new(observations),
-            closed: CancellationToken::new(),
+            stop: Stop::default(),
         })))
     }
-
-    /// Closes the caller port once `stop` was asked for.
-    pub async fn drain_after(&self, stop: CancellationToken) {
-        let closed = self.closed.clone();
-        tokio::spawn(async move {
-            stop.cancelled().await;
-            closed.cancel();
-        });
-    }
-
-    /// Cancelled when the caller port shall close.
-    pub fn closed(&self) -> CancellationToken {
-        self.closed.clone()
-    }
 }
 
 impl Shared {
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -158,6 +158,16 @@
         &self.target(service, region).pool
     }
 
+    /// The pools that this host dispatches to, or did and still has waiters of.
+    pub fn dispatched_pools(&self) -> impl Iterator<Item = &Arc<Pool<W>>> {
+        let targets = self.services.iter().flat_map(|row| &row.targets);
+        let dispatched = targets.filter(|target| {
+            let dispatcher = target.dispatcher.and_then(|position| self.hosts.get(position));
+            dispatcher.is_some_and(|host| self.is_own(host)) || target.pool.queued() > 0
+        });
+        dispatched.map(|target| &target.pool)
+    }
+
     /// The budget of retries of a service.
     pub fn retries(&self, service: service::Index) -> &request::retry::Budget {
         &self.services[usize::from(service.0)].retries
