Run requests that may wait once, always in a state that can be read

Cause: Prefer: respond-async was ignored, so that a caller who could wait hours kept a connection open, and a request vanished with its host.

Change: such a request is put into the object store, then its key is claimed and its job queued by one transaction, then 202 with a Location. Two hosts by rank look for jobs each 0.5 to 1.5 s, and every daemon once after its start. A job whose runner started anew, or is gone for 10 s, or is older than four time limits, is in doubt and never run again; a runner that was only paused still records what it did. A settlement that meets a conflict waits before it reads, so that none can spin on the table.

An unanswered submission is answered 504, unknown, not store-away: another host may run a stored job at once, so nothing is proved.

Job rows are never pruned, as the table has no delete: each scan reads all of them.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -4,6 +4,7 @@
 pub mod dispatch;
 pub mod feed;
 pub mod front;
+pub mod jobs;
 pub mod parcel;
 pub mod refusal;
 pub mod relay;
@@ -29,6 +30,7 @@
         "relays" => %settings.entry.relay_address);
     let state = State::start(&settings, log)?;
     let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
+    tokio::spawn(jobs::runner::run(state.clone()));
     // Other hosts relay to this one until they learn that it leaves, so the relay port stays
     // open until the callers of this host are served.
     let relays_stop = CancellationToken::new();
--- a/crates/node/src/entry/claims.rs
+++ b/crates/node/src/entry/claims.rs
@@ -29,6 +29,7 @@
         State,
         claims::{batch::Limits, place::Place},
         dispatch::{Answer, Call},
+        jobs,
         parcel::Parcel,
         state::Snapshot,
         steer,
@@ -140,6 +141,7 @@
     call: Call<'_>,
     head: request::Parts,
     body: Incoming,
+    caller: IpAddr,
 ) -> Result<Answer, Refusal> {
     let key = names::text(&head.headers, &names::IDEMPOTENCY_KEY).ok_or(Refusal::Malformed)?;
     let key = Key::try_from(key).map_err(|_| Refusal::Malformed)?;
@@ -147,6 +149,10 @@
     let body = tokio::time::timeout(left, body::buffer(body)).await;
     let body = body.map_err(|_| Refusal::Expired)??;
     let digest = body::digest(&head, &body);
+    if jobs::is_wanted(&head.headers) {
+        let arrival = jobs::Arrival { key, digest, head, body, caller };
+        return jobs::submit(state, &snapshot, call, arrival).await;
+    }
     let request = Request { key, digest, parcel: Parcel::buffered(head, body) };
     let id = call.id.to_owned();
     let (service, region, repeat, deadline) =
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -14,6 +14,7 @@
     entry::{
         State, claims,
         dispatch::{Answer, Call},
+        jobs,
         parcel::Parcel,
         refusal,
         slot::Lease,
@@ -60,6 +61,9 @@
         let answered = match (head.uri.path(), &head.method) {
             (LOCATE_PATH, &Method::GET) => self.locate(&head, peer),
             (READY_PATH, &Method::GET) => self.ready(),
+            (path, &Method::GET) if path.starts_with(jobs::STATUS_PATH) => {
+                jobs::status::answer(&self.0, &path[jobs::STATUS_PATH.len()..]).await
+            }
             _ => self.request(&id, head, body, peer).await,
         };
         let mut answer = answered.unwrap_or_else(|refusal| {
@@ -109,7 +113,7 @@
         names::strip_internal(&mut head.headers);
         head.headers.insert(names::REQUEST_ID, names::value(id));
         if call.repeat == Repeat::Forbidden && head.headers.contains_key(names::IDEMPOTENCY_KEY) {
-            return claims::request(state, snapshot, call, head, body).await;
+            return claims::request(state, snapshot, call, head, body, peer.ip()).await;
         }
         let mut parcel = Parcel::streamed(head, body);
         steer::steer(state, snapshot, call, &mut parcel).await
--- /dev/null
+++ b/crates/node/src/entry/jobs/place.rs
@@ -0,0 +1,117 @@
+//! The rows of a job as the rules of claims see them.
+
+use oleanderspan::request::{
+    Job,
+    claim::{self, Claim, Reply, Table},
+    job,
+};
+
+use crate::{
+    clock,
+    entry::{
+        claims::{
+            Claims,
+            place::{Place, pause},
+            row as claim_row,
+        },
+        jobs::row::{self, Row},
+    },
+    store::{Expect, Write},
+};
+
+/// The claim of a key whose request is stored by the same transaction.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// The way to the table.
+    pub claims: Claims,
+    /// The claim of the key.
+    pub claim: Place,
+    /// The name of the job's row.
+    pub key: String,
+    /// The job's row, but for the version of the claim.
+    pub row: Row,
+}
+
+impl Table for Submission {
+    async fn write(&self, write: claim::Write) -> Reply {
+        let mut writes = vec![self.claim.write_of(&write)];
+        if write.claim.state == claim::State::Held {
+            let row = Row { claim_version: write.expect.next(), ..self.row.clone() };
+            let (key, value) = (self.key.clone(), row::encode(&row));
+            writes.push(Write { key, expect: Expect::Absent, value });
+        }
+        self.claims.transact(writes).await
+    }
+
+    async fn read(&self) -> Reply {
+        self.claim.read().await
+    }
+
+    async fn wait(&self) -> Reply {
+        pause().await
+    }
+}
+
+/// The row of a job that a host claims to run it.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The way to the table.
+    pub claims: Claims,
+    /// The name of the job's row.
+    pub key: String,
+    /// The row as it was when the job was found.
+    pub row: Row,
+    /// What the job is while it is held.
+    pub held: job::State,
+}
+
+impl Run {
+    fn job_after(&self, claim: &Claim) -> Job {
+        let (operation, digest) = (claim.operation.clone(), claim.digest.clone());
+        let job = Job { operation, digest, ..self.row.job.clone() };
+        match claim.state {
+            claim::State::Held => Job { state: self.held.clone(), ..job },
+            claim::State::Released => job.requeued(clock::wall_millis()),
+            claim::State::Done(_) => Job { state: job::State::Done, ..job },
+        }
+    }
+
+    /// The claim of the key gets the answer by the same transaction.
+    fn answered(&self, answer: &claim::Answer) -> Write {
+        let claim = Claim {
+            operation: self.row.claim_operation.as_str().into(),
+            digest: self.row.job.digest.clone(),
+            state: claim::State::Done(answer.clone()),
+        };
+        Write {
+            key: self.row.claim_key.clone(),
+            expect: Expect::Version(self.row.claim_version),
+            value: claim_row::encode(&claim),
+        }
+    }
+}
+
+impl Table for Run {
+    async fn write(&self, write: claim::Write) -> Reply {
+        let row = Row { job: self.job_after(&write.claim), ..self.row.clone() };
+        let (key, value) = (self.key.clone(), row::encode(&row));
+        let mut writes = vec![Write { key, expect: write.expect.into(), value }];
+        if let claim::State::Done(answer) = &write.claim.state {
+            writes.push(self.answered(answer));
+        }
+        self.claims.transact(writes).await
+    }
+
+    async fn read(&self) -> Reply {
+        let Ok(row) = self.claims.read(&self.key).await else { return Reply::Unanswered };
+        let decoded = row.map(|row| {
+            let claim = row::decode(&row.value).map(|decoded| decoded.job.claim());
+            claim.map(|claim| claim::Row { version: row.version, claim })
+        });
+        decoded.transpose().map_or(Reply::Unanswered, Reply::Read)
+    }
+
+    async fn wait(&self) -> Reply {
+        pause().await
+    }
+}
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::Monotonic,
-    entry::{claims::Claims, slot},
+    entry::{claims::Claims, jobs::Jobs, slot},
     http::client::{Client, Protocol},
     metrics,
     settings::Settings,
@@ -45,6 +45,8 @@
     pub control: Client,
     /// Claims of requests that run at most once.
     pub claims: Claims,
+    /// Requests that may wait.
+    pub jobs: Jobs,
     /// The log.
     pub log: Logger,
     /// The metrics.
@@ -71,6 +73,7 @@
         let host = settings.host.name.as_str();
         Ok(State(Arc::new(Shared {
             claims: Claims::start(&store, &settings.environment, host),
+            jobs: Jobs::start(store, host),
             name: settings.host.name.clone(),
             clock: Monotonic::start(),
             servers: Client::new(Protocol::Http1),
--- a/crates/oleanderspan/src/request.rs
+++ b/crates/oleanderspan/src/request.rs
@@ -1,10 +1,12 @@
 //! Requests: what they are, how they may end, and who may run them.
 
 pub mod claim;
+pub mod job;
 pub mod outcome;
 pub mod retry;
 
 pub use claim::{Claim, Key};
+pub use job::Job;
 pub use outcome::{Outcome, Refusal};
 
 value! {
--- a/crates/oleanderspan/src/request/claim/settlement.rs
+++ b/crates/oleanderspan/src/request/claim/settlement.rs
@@ -49,11 +49,11 @@
     pub fn take(&mut self, reply: Reply) -> Option<Step> {
         match reply {
             Reply::Written => None,
-            Reply::Conflict | Reply::Waited => {
+            Reply::Waited => {
                 self.phase = Phase::Reading;
                 Some(Step::Read)
             }
-            Reply::Away | Reply::Unanswered => Some(self.wait()),
+            Reply::Conflict | Reply::Away | Reply::Unanswered => Some(self.wait()),
             Reply::Read(row) => self.judge(row.as_ref()),
         }
     }
