--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,9 +1,11 @@
 //! The entry daemon: the path of a request.
 
 pub mod claims;
+pub mod counters;
 pub mod dispatch;
 pub mod feed;
 pub mod front;
+pub mod health;
 pub mod jobs;
 pub mod parcel;
 pub mod refusal;
@@ -11,6 +13,7 @@
 pub mod slot;
 pub mod state;
 pub mod steer;
+pub mod stop;
 
 use std::io;
 
@@ -29,6 +32,7 @@
     info!(log, "listening"; "callers" => %settings.entry.caller_address,
         "relays" => %settings.entry.relay_address);
     let state = State::start(&settings, log)?;
+    let counts = tokio::spawn(send_counts(state.clone()));
     let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
     tokio::spawn(jobs::runner::run(state.clone()));
     // Other hosts relay to this one until they learn that it leaves, so the relay port stays
@@ -36,11 +40,24 @@
     let relays_stop = CancellationToken::new();
     let relay =
         tokio::spawn(server::serve(relays, relay::Relay(state.clone()), relays_stop.clone()));
-    state.drain_after(stop.clone()).await;
-    server::serve(callers, front::Front(state.clone()), state.closed()).await;
+    let health = tokio::spawn(health::run(state.clone()));
+    tokio::spawn(stop::run(state.clone(), settings.control.peer_address, stop));
+    server::serve(callers, front::Front(state.clone()), state.stop.closed()).await;
     state.claims.drain().await;
     relays_stop.cancel();
     let _ = relay.await;
     feed.abort();
+    health.abort();
+    counts.abort();
     Ok(())
 }
+
+async fn send_counts(state: State) {
+    let mut earlier = state.counters.read();
+    loop {
+        tokio::time::sleep(counters::INTERVAL).await;
+        let now = state.counters.read();
+        now.send_since(&earlier, &state.metrics);
+        earlier = now;
+    }
+}
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -1,6 +1,8 @@
 //! What callers ask an entry daemon: which host to use, and their requests.
 
-use http::{HeaderMap, Method, Request, Response, header, request};
+use std::borrow::Cow;
+
+use http::{HeaderMap, Method, Request, Response, Version, header, request};
 use hyper::body::Incoming;
 use oleanderspan::{
     prelude::*,
@@ -58,6 +60,7 @@
     async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Answer {
         let (head, body) = request.into_parts();
         let id = request_id(&head.headers);
+        let is_http1 = head.version <= Version::HTTP_11;
         let answered = match (head.uri.path(), &head.method) {
             (LOCATE_PATH, &Method::GET) => self.locate(&head, peer),
             (READY_PATH, &Method::GET) => self.ready(),
@@ -68,9 +71,13 @@
         };
         let mut answer = answered.unwrap_or_else(|refusal| {
             debug!(self.0.log, "refused"; "request" => &id, "refusal" => refusal.as_str());
+            self.0.counters.count_refused(refusal);
             refusal::response(refusal, &id, None)
         });
         answer.headers_mut().insert(names::REQUEST_ID, names::value(&id));
+        if is_http1 && self.0.stop.is_closing() {
+            answer.headers_mut().insert(header::CONNECTION, names::value("close"));
+        }
         answer
     }
 }
@@ -85,14 +92,34 @@
         };
         let answer = snapshot.locate(address).ok_or(Refusal::NotReady)?;
         let max_age_s = snapshot.draft.locate.max_age.as_secs();
-        let located = Located { hosts: &answer.addresses, max_age_s };
+        let hosts = self.without_leaving_self(&snapshot, &answer.addresses);
+        if hosts.is_empty() {
+            return Err(Refusal::NotReady);
+        }
+        let located = Located { hosts: &hosts, max_age_s };
         let mut response = json(&located);
         let cache = names::value(&format!("private, max-age={max_age_s}"));
         response.headers_mut().insert(header::CACHE_CONTROL, cache);
         Ok(response)
     }
 
+    /// The hosts of a locate answer, without this one from the moment that it was told to stop,
+    /// also if no later snapshot comes.
+    fn without_leaving_self<'a>(
+        &self,
+        snapshot: &Snapshot,
+        hosts: &'a [SocketAddr],
+    ) -> Cow<'a, [SocketAddr]> {
+        let Some(own) = snapshot.own_host().filter(|_| self.0.stop.has_begun()) else {
+            return Cow::Borrowed(hosts);
+        };
+        hosts.iter().copied().filter(|host| *host != own.caller_address).collect()
+    }
+
     fn ready(&self) -> Result<Answer, Refusal> {
+        if self.0.stop.has_begun() {
+            return Err(Refusal::NotReady);
+        }
         let snapshot = self.0.snapshot().ok_or(Refusal::NotReady)?;
         snapshot.own_host().filter(|host| host.takes_callers()).ok_or(Refusal::NotReady)?;
         let live_hosts = snapshot.hosts.iter().filter(|host| host.takes_callers()).count();
@@ -112,11 +139,17 @@
         names::strip_hop_by_hop(&mut head.headers);
         names::strip_internal(&mut head.headers);
         head.headers.insert(names::REQUEST_ID, names::value(id));
-        if call.repeat == Repeat::Forbidden && head.headers.contains_key(names::IDEMPOTENCY_KEY) {
-            return claims::request(state, snapshot, call, head, body, peer.ip()).await;
-        }
-        let mut parcel = Parcel::streamed(head, body);
-        steer::steer(state, snapshot, call, &mut parcel).await
+        forward_caller(&mut head, peer.ip());
+        let began = state.clock.now();
+        let is_keyed = head.headers.contains_key(names::IDEMPOTENCY_KEY);
+        let answer = if call.repeat == Repeat::Forbidden && is_keyed {
+            claims::request(state, snapshot, call, head, body, peer.ip()).await?
+        } else {
+            let mut parcel = Parcel::receive(head, body, call.left(began)?).await?;
+            steer::steer(state, snapshot, call, &mut parcel).await?
+        };
+        state.counters.count_done(state.clock.now().since(began));
+        Ok(answer)
     }
 }
 
@@ -128,6 +161,9 @@
     caller: IpAddr,
     now: Instant,
 ) -> Result<Call<'a>, Refusal> {
+    if head.method == Method::CONNECT {
+        return Err(Refusal::Malformed);
+    }
     let authority = authority(head).ok_or(Refusal::Malformed)?;
     let service = snapshot.service(&authority).ok_or(Refusal::NoService)?;
     let described = snapshot.described(service);
@@ -142,6 +178,21 @@
     Ok(Call { id, service, region, repeat, deadline })
 }
 
+/// Tells the backend server whom the request is from and whom it was addressed to.
+fn forward_caller(head: &mut request::Parts, caller: IpAddr) {
+    let before = names::text(&head.headers, &names::FORWARDED_FOR);
+    let path = match before {
+        Some(before) => format!("{before}, {caller}"),
+        None => caller.to_string(),
+    };
+    head.headers.insert(names::FORWARDED_FOR, names::value(&path));
+    // HTTP/2 carries the authority in the URI, which the next hop replaces.
+    if let Some(authority) = head.uri.authority() {
+        let host = names::value(authority.as_str());
+        head.headers.insert(header::HOST, host);
+    }
+}
+
 /// The authority without port, in lower case: of the URI in HTTP/2, of `Host` in HTTP/1.1.
 fn authority(head: &request::Parts) -> Option<String> {
     let named = head.uri.authority().map(|authority| authority.host());
--- a/crates/node/src/entry/jobs/runner.rs
+++ b/crates/node/src/entry/jobs/runner.rs
@@ -43,17 +43,20 @@
 /// A running job: the version of its row, and since when it was seen so.
 type Sighting = (u64, Seen);
 
-/// Looks for jobs until the daemon stops taking requests.
+/// Looks for jobs until a planned stop begins.
 pub async fn run(state: State) {
     let mut sightings: Map<String, Sighting> = Map::default();
     let mut is_first = true;
-    let closed = state.closed();
+    let closed = state.stop.closed();
     loop {
         let pause = SCAN_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = closed.cancelled() => return,
         }
+        if state.stop.has_begun() {
+            return;
+        }
         let Some(snapshot) = state.snapshot() else { continue };
         // A daemon that has just started looks for what its last start left behind.
         if !is_first && !is_reader(&snapshot) {
