--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,6 +7,7 @@
 pub mod listing;
 pub mod operator;
 pub mod publication;
+pub mod shares;
 pub mod state;
 
 use std::io;
@@ -31,6 +32,7 @@
         tokio::spawn(listing::watch(state.clone())),
         tokio::spawn(exchange::run(state.clone())),
         tokio::spawn(publication::run(state.clone())),
+        tokio::spawn(shares::record(state.clone())),
     ];
     server::serve(peers, exchange::Peer(state.clone()), stop).await;
     for task in &tasks {
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -10,7 +10,7 @@
 use crate::{
     codec,
     control::{
-        State,
+        State, shares,
         state::{Accepted, Peer as Heard},
     },
     entry::feed::POLL_LIMIT,
@@ -89,6 +89,8 @@
         version: accepted.map_or(0, |accepted| accepted.version.0),
         document: accepted.map_or_else(String::new, |accepted| accepted.hash.clone()),
         leaving: inner.leaving.iter().cloned().collect(),
+        shares: inner.shares.message(),
+        loads: inner.shares.own_loads(),
     }
 }
 
@@ -100,6 +102,7 @@
     for (name, incarnation) in &heard.leaving {
         state.note_leaving(name, *incarnation);
     }
+    shares::take_over(state, &heard);
     let address = heard.from.peer_address;
     note_host(state, heard.from);
     let known = state.lock().accepted.as_ref().map_or(Version::NONE, |a| a.version);
@@ -223,6 +226,9 @@
         for (name, incarnation) in &observation.leaving {
             self.0.note_leaving(name, *incarnation);
         }
+        if let Some(loads) = observation.loads {
+            shares::note_own_loads(&self.0, loads);
+        }
         status(StatusCode::NO_CONTENT)
     }
 }
--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -2,15 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use oleanderspan::{
-    document::raw,
-    prelude::*,
-    shift::{Slew, slew::Permit},
-};
+use oleanderspan::{document::raw, prelude::*};
 
 use crate::{
     control::{
         State,
+        shares::{self, Moves},
         state::{Accepted, Inner},
     },
     wire,
@@ -28,30 +25,31 @@
 }
 
 fn publish(state: &State) {
+    let was_moving = shares::is_moving(state);
+    publish_next(state);
+    shares::note_moves(state, was_moving);
+}
+
+fn publish_next(state: &State) {
     let own = state.own_host();
     let now = state.clock.now();
     let mut inner = state.lock();
     let Some(accepted) = inner.accepted.clone() else { return };
-    move_shares(&mut inner, &accepted, now);
+    let Some(moves) = shares::advance(&mut inner, &accepted, &own, now) else { return };
     let sequence = inner.snapshot.as_ref().map_or(0, |snapshot| snapshot.sequence);
-    let next = compose(&inner, &accepted, own, sequence + 1);
+    let next = compose(&inner, &accepted, own, moves, sequence + 1);
     if inner.snapshot.as_ref().is_none_or(|last| differs(last, &next)) {
         inner.snapshot = Some(Arc::new(next));
     }
 }
 
-fn move_shares(inner: &mut Inner, accepted: &Accepted, now: Instant) {
-    for service in &accepted.draft.services {
-        let slews = inner.shares.entry(service.name.to_string()).or_insert_with(|| {
-            service.routes.iter().map(|target| Slew::new(target.clone(), now)).collect()
-        });
-        for (slew, target) in slews.iter_mut().zip(&service.routes) {
-            slew.advance(target, &service.shift, Permit::Go, now);
-        }
-    }
-}
-
-fn compose(inner: &Inner, accepted: &Accepted, own: wire::Host, sequence: u64) -> wire::Snapshot {
+fn compose(
+    inner: &Inner,
+    accepted: &Accepted,
+    own: wire::Host,
+    moves: Moves,
+    sequence: u64,
+) -> wire::Snapshot {
     let document = raw::Document { blocks: BTreeMap::new(), ..(*accepted.raw).clone() };
     let mut hosts: Vec<wire::Host> = inner.hosts.values().map(|peer| peer.host.clone()).collect();
     hosts.push(own);
@@ -64,16 +62,14 @@
         address: server.address,
         leaving: inner.leaving.contains(&(server.name.clone(), server.incarnation)),
     });
-    let shares = accepted.draft.services.iter().map(|service| {
-        let slews = inner.shares.get(service.name.as_str());
-        slews.into_iter().flatten().map(|slew| slew.shares().shares().to_vec()).collect()
-    });
     wire::Snapshot {
         sequence,
         version: accepted.version.0,
         blocks: accepted.blocks.clone(),
         servers: servers.collect(),
-        shares: shares.collect(),
+        shares: moves.shares,
+        failed: moves.failed,
+        withheld: moves.withheld,
         document,
         hosts,
     }
@@ -84,4 +80,6 @@
         || last.hosts != next.hosts
         || last.servers != next.servers
         || last.shares != next.shares
+        || last.failed != next.failed
+        || last.withheld != next.withheld
 }
--- /dev/null
+++ b/crates/node/src/control/shares.rs
@@ -0,0 +1,347 @@
+//! Shares in force on this host: what peers and the platform's table say, and what they need to
+//! know to move. The rules are those of [`oleanderspan::shift`] and [`oleanderspan::region`].
+
+use oleanderspan::{
+    document::{Draft, Version},
+    entry::{self, Host, host, rank},
+    event::Kind,
+    prelude::*,
+    region::{self, Handover, Headroom, Load, Outage, handover::Claim},
+    service::Service,
+    shift::{
+        Board, Statement,
+        board::{GRACE, Recorded, View},
+    },
+    snapshot,
+};
+use slog::debug;
+
+use crate::{
+    codec,
+    control::{
+        State,
+        state::{Accepted, Inner},
+    },
+    entry::feed,
+    store::{self, Expect, Transaction, Write},
+    wire,
+};
+
+/// The mean time between two looks at whether the recorded shares are still those in force.
+const RECORD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The mean time between two looks at the recorded shares while nothing is in force.
+const LEARN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The age above which a load no longer counts as a measurement.
+const FRESH: Duration = Duration::from_secs(3);
+
+/// The age above which the requests in flight that a host told of count as ended.
+const ENDED: Duration = Duration::from_millis(4_500);
+
+/// How long a host waits after its start before it believes that a region failed.
+const FIRST_SIGHT: Duration = Duration::from_secs(5);
+
+/// Shares in force, and what moves them.
+#[derive(Debug)]
+pub struct Shares {
+    board: Board,
+    moving: bool,
+    own_loads: Vec<wire::Load>,
+    loads: Map<String, Heard>,
+    outages: Map<Place, Outage>,
+    handovers: Map<Place, Handover>,
+}
+
+/// The loads that a host told of.
+#[derive(Debug)]
+struct Heard {
+    loads: Vec<wire::Load>,
+    at: Instant,
+}
+
+/// A service and a region by name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Place {
+    service: oleanderspan::service::Name,
+    region: region::Name,
+}
+
+/// What a snapshot holds of shares; one entry for each service of the document.
+#[derive(Clone, Debug, Default)]
+pub struct Moves {
+    /// Shares in force by region of the caller and region.
+    pub shares: Vec<Vec<Vec<u32>>>,
+    /// Failed regions.
+    pub failed: Vec<Vec<bool>>,
+    /// Places to leave free, by region.
+    pub withheld: Vec<Vec<u32>>,
+}
+
+impl Default for Shares {
+    fn default() -> Shares {
+        Shares {
+            board: Board::new(Instant::ZERO),
+            moving: false,
+            own_loads: Vec::new(),
+            loads: Map::default(),
+            outages: Map::default(),
+            handovers: Map::default(),
+        }
+    }
+}
+
+impl Shares {
+    /// Whether shares are in force, and the host has had the time to hear who dispatches.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        self.board.is_in_force() && now.since(Instant::ZERO) >= GRACE
+    }
+
+    /// The shares in force as other hosts are told of them.
+    pub fn message(&self) -> Option<wire::Shares> {
+        self.board.statement().as_ref().map(wire::Shares::from)
+    }
+
+    /// What the own entry daemon counts in flight.
+    pub fn own_loads(&self) -> Vec<wire::Load> {
+        self.own_loads.clone()
+    }
+
+    /// Claims of other hosts on a service in a region.
+    fn claims(&self, place: &Place, in_sight: &[Host], now: Instant) -> Vec<Claim> {
+        let recent = self.loads.iter().filter(|(_, heard)| now.since(heard.at) < ENDED);
+        let claim = |(host, heard): (&String, &Heard)| {
+            let load = heard.loads.iter().find(|load| is_at(load, place))?;
+            let is_seen = in_sight.iter().any(|seen| seen.name.as_str() == host);
+            Some(Claim { in_flight: load.in_flight, dispatches: load.dispatches && is_seen })
+        };
+        recent.filter_map(claim).collect()
+    }
+
+    /// What the dispatching hosts last measured for a service in a region; the worst counts.
+    fn headroom(&self, place: &Place, now: Instant) -> Headroom {
+        let fresh = self.loads.values().filter(|heard| now.since(heard.at) < FRESH);
+        let loads = fresh.flat_map(|heard| &heard.loads);
+        let measured = loads.filter(|load| load.dispatches && is_at(load, place)).map(|load| {
+            let load = Load { in_flight: load.in_flight, limit: load.limit, queued: load.queued };
+            load.headroom()
+        });
+        measured.max().unwrap_or(Headroom::Unknown)
+    }
+}
+
+fn is_at(load: &wire::Load, place: &Place) -> bool {
+    load.service == place.service.as_str() && load.region == place.region.as_str()
+}
+
+/// Takes note of what a peer said of its shares and loads.
+pub fn take_over(state: &State, heard: &wire::Exchange) {
+    let now = state.clock.now();
+    let name = entry::Name::try_from(heard.from.name.as_str());
+    let statement = heard.shares.as_ref().map(Statement::try_from);
+    let mut inner = state.lock();
+    if let (Ok(name), Some(Ok(statement))) = (name, statement) {
+        inner.shares.board.note_peer(name, statement, now);
+    }
+    let loads = Heard { loads: heard.loads.clone(), at: now };
+    inner.shares.loads.insert(heard.from.name.clone(), loads);
+}
+
+/// Takes note of what the own entry daemon counts in flight.
+pub fn note_own_loads(state: &State, loads: Vec<wire::Load>) {
+    let now = state.clock.now();
+    let own = state.settings.host.name.to_string();
+    let mut inner = state.lock();
+    inner.shares.own_loads.clone_from(&loads);
+    inner.shares.loads.insert(own, Heard { loads, at: now });
+}
+
+/// Moves shares and finds what a snapshot has to say of them; `None` while nothing is in force.
+pub fn advance(
+    inner: &mut Inner,
+    accepted: &Accepted,
+    own: &wire::Host,
+    now: Instant,
+) -> Option<Moves> {
+    let draft = &*accepted.draft;
+    let own = feed::resolve(own, draft)?;
+    let mut hosts: Vec<Host> =
+        inner.hosts.values().filter_map(|peer| feed::resolve(&peer.host, draft)).collect();
+    let failed = failed(inner, draft, &own, &hosts, now);
+    let shares = &mut inner.shares;
+    shares.loads.retain(|_, heard| now.since(heard.at) < ENDED);
+    let places = draft.services.iter().map(|service| places(service, draft));
+    let places: Vec<Vec<Place>> = places.collect();
+    let headroom: Vec<Vec<Headroom>> = places
+        .iter()
+        .map(|places| places.iter().map(|place| shares.headroom(place, now)).collect())
+        .collect();
+    let view = View {
+        version: accepted.version,
+        draft,
+        own: own.region,
+        failed: &failed,
+        headroom: &headroom,
+    };
+    shares.moving = shares.board.tick(&view, now);
+    if !shares.board.is_in_force() {
+        return None;
+    }
+    let in_sight = hosts.clone();
+    hosts.push(own.clone());
+    let services = draft.services.iter().zip(&places);
+    let withheld = services.map(|(service, places)| {
+        let regions = (0u16..).map(region::Index).zip(places);
+        let withheld = regions.map(|(region, place)| {
+            let first = snapshot::dispatcher(service, &draft.regions, region, &hosts);
+            let is_own = first.is_some_and(|first| hosts[first].name == own.name);
+            let claims = shares.claims(place, &in_sight, now);
+            let before = shares.handovers.get(place).copied().unwrap_or(Handover::Elsewhere);
+            let next = before.next(is_own, &claims, now);
+            shares.handovers.insert(place.clone(), next);
+            if is_own { next.withheld(&claims) } else { 0 }
+        });
+        withheld.collect()
+    });
+    let withheld = withheld.collect();
+    let vectors = |service: &Service| {
+        let vectors = shares.board.vectors(&service.name);
+        vectors.iter().map(|vector| vector.shares().to_vec()).collect()
+    };
+    Some(Moves { shares: draft.services.iter().map(vectors).collect(), failed, withheld })
+}
+
+fn places(service: &Service, draft: &Draft) -> Vec<Place> {
+    let place = |region: &region::Region| Place {
+        service: service.name.clone(),
+        region: region.name.clone(),
+    };
+    draft.regions.iter().map(place).collect()
+}
+
+/// Regions that can't serve a service: no live entry host or no live server is known there.
+fn failed(
+    inner: &mut Inner,
+    draft: &Draft,
+    own: &Host,
+    hosts: &[Host],
+    now: Instant,
+) -> Vec<Vec<bool>> {
+    let has_host: Vec<bool> = (0u16..)
+        .map(region::Index)
+        .zip(&draft.regions)
+        .map(|(region, _)| {
+            let is_live = |host: &Host| host.region == region && host.state == host::State::Live;
+            own.region == region || hosts.iter().any(is_live)
+        })
+        .collect();
+    let is_early = now.since(Instant::ZERO) < FIRST_SIGHT || inner.list.servers.is_empty();
+    let zones = oleanderspan::availability::by_name(&draft.zones);
+    let mut has_server: Set<(&str, region::Index)> = Set::default();
+    for server in &inner.list.servers {
+        let is_leaving = inner.leaving.contains(&(server.name.clone(), server.incarnation));
+        if let Some(zone) = zones.get(server.zone.as_str()).filter(|_| !is_leaving) {
+            has_server.insert((&server.service, draft.zones[usize::from(zone.0)].region));
+        }
+    }
+    let outages = &mut inner.shares.outages;
+    let services = draft.services.iter().map(|service| {
+        let regions = (0u16..).map(region::Index).zip(places(service, draft)).zip(&has_host);
+        let failed = regions.map(|((region, place), has_host)| {
+            let has_server = has_server.contains(&(service.name.as_str(), region));
+            let can_serve = is_early || *has_host && has_server;
+            outages.entry(place).or_default().observe(can_serve, now)
+        });
+        failed.collect()
+    });
+    services.collect()
+}
+
+/// Reads the recorded shares while this host learns, and records those in force if it is the
+/// first by rank, for ever.
+pub async fn record(state: State) {
+    let mut known: Option<(Version, String)> = None;
+    loop {
+        let is_learning = !state.lock().shares.board.is_in_force();
+        let interval = if is_learning { LEARN_INTERVAL } else { RECORD_INTERVAL };
+        let jitter = rand::random_range(0.75..1.25);
+        tokio::time::sleep(interval.mul_f64(jitter)).await;
+        let done = match is_learning {
+            true => learn(&state).await,
+            false if is_first(&state) => keep(&state, &mut known).await,
+            false => Ok(()),
+        };
+        if let Err(error) = done {
+            known = None;
+            debug!(state.log, "shares not recorded or read"; "error" => %error);
+        }
+    }
+}
+
+async fn learn(state: &State) -> Result<(), store::Error> {
+    if *state.lock().shares.board.recorded() != Recorded::Unknown {
+        return Ok(());
+    }
+    let recorded = match read(state).await? {
+        None => Recorded::Nothing,
+        Some((_, text)) => {
+            let raw: wire::Shares = codec::from_json(text.as_bytes())?;
+            let statement = Statement::try_from(&raw);
+            Recorded::Shares(statement.map_err(|error| store::Error::Protocol(error.to_string()))?)
+        }
+    };
+    state.lock().shares.board.note_recorded(recorded);
+    state.changed.notify_one();
+    Ok(())
+}
+
+/// Writes the shares in force unless the row has them; an unanswered write is settled by
+/// reading the row the next time.
+async fn keep(state: &State, known: &mut Option<(Version, String)>) -> Result<(), store::Error> {
+    let Some(shares) = state.lock().shares.message() else { return Ok(()) };
+    let value = String::from_utf8_lossy(&codec::to_json(&shares)?).into_owned();
+    if known.is_none() {
+        *known = read(state).await?;
+    }
+    if known.as_ref().is_some_and(|(_, text)| *text == value) {
+        return Ok(());
+    }
+    let version = known.take().map(|(version, _)| version);
+    let expect = version.map_or(Expect::Absent, |version| Expect::Version(version.0));
+    let write = Write { key: row_key(state), expect, value: value.clone() };
+    state.store.transact(&Transaction { writes: vec![write] }).await?;
+    *known = Some((version.unwrap_or(Version::NONE).next(), value));
+    Ok(())
+}
+
+async fn read(state: &State) -> Result<Option<(Version, String)>, store::Error> {
+    let rows = state.store.read(vec![row_key(state)]).await?;
+    Ok(rows.into_iter().next().map(|row| (Version(row.version), row.value)))
+}
+
+fn row_key(state: &State) -> String {
+    format!("shares/{}", state.settings.environment)
+}
+
+/// Whether this host is the first by rank among those that are live.
+fn is_first(state: &State) -> bool {
+    let own = state.settings.host.name.as_str();
+    let inner = state.lock();
+    let live = inner.hosts.iter().filter(|(_, peer)| peer.host.state == wire::HostState::Live);
+    let mut names: Vec<&str> = live.map(|(name, _)| name.as_str()).collect();
+    names.push(own);
+    rank::first(&names, &row_key(state), |name| name) == Some(&own)
+}
+
+/// Records in the time line that shares began or ceased to move.
+pub fn note_moves(state: &State, was_moving: bool) {
+    let is_moving = state.lock().shares.moving;
+    if is_moving != was_moving {
+        state.record(Kind::ShareMoved, "", if is_moving { "moving" } else { "at rest" });
+    }
+}
+
+/// Whether shares moved at the last look.
+pub fn is_moving(state: &State) -> bool {
+    state.lock().shares.moving
+}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -9,7 +9,6 @@
     document::{self, Draft, raw},
     event::{Event, Hybrid, Kind},
     prelude::*,
-    shift::Slew,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -17,6 +16,7 @@
 use crate::{
     clock::{Monotonic, wall_millis},
     codec,
+    control::shares::Shares,
     http::client::{Client, Protocol},
     settings::Settings,
     store::{self, Store},
@@ -101,8 +101,8 @@
     pub list: store::List,
     /// Servers that gave a sign of leaving, with their incarnation.
     pub leaving: Set<(String, u64)>,
-    /// Shares in force, by service name and region of the caller.
-    pub shares: Map<String, Vec<Slew>>,
+    /// Shares in force, and what moves them.
+    pub shares: Shares,
     /// The latest snapshot for the entry daemon.
     pub snapshot: Option<Arc<wire::Snapshot>>,
     /// Recent events of this process.
@@ -188,7 +188,10 @@
     /// This host as it tells others of itself.
     pub fn own_host(&self) -> wire::Host {
         let settings = &self.settings;
-        let ready = self.lock().accepted.is_some();
+        let ready = {
+            let inner = self.lock();
+            inner.accepted.is_some() && inner.shares.is_ready(self.clock.now())
+        };
         wire::Host {
             name: settings.host.name.to_string(),
             incarnation: self.incarnation,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -3,6 +3,7 @@
 pub mod dispatch;
 pub mod feed;
 pub mod front;
+pub mod measure;
 pub mod parcel;
 pub mod refusal;
 pub mod relay;
@@ -28,6 +29,7 @@
         "relays" => %settings.entry.relay_address);
     let state = State::start(&settings, log)?;
     let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
+    let measure = tokio::spawn(measure::run(state.clone(), settings.control.peer_address));
     // Other hosts relay to this one until they learn that it leaves, so the relay port stays
     // open until the callers of this host are served.
     let relays_stop = CancellationToken::new();
@@ -38,5 +40,6 @@
     relays_stop.cancel();
     let _ = relay.await;
     feed.abort();
+    measure.abort();
     Ok(())
 }
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -31,6 +31,8 @@
     pub id: &'a str,
     /// The service.
     pub service: service::Index,
+    /// The region that the caller belongs to.
+    pub origin: region::Index,
     /// The region that shall serve it.
     pub region: region::Index,
     /// Whether it may be repeated.
@@ -133,7 +135,7 @@
     server.mark_leaving();
     let identity = &server.identity;
     let leaving = vec![(identity.name.to_string(), identity.incarnation)];
-    state.observe(wire::Observation { leaving });
+    state.observe(wire::Observation { leaving, loads: None });
 }
 
 fn answer_of(answer: Response<Incoming>, lease: Lease) -> Answer {
--- a/crates/node/src/entry/feed.rs
+++ b/crates/node/src/entry/feed.rs
@@ -119,19 +119,7 @@
     own: &entry::Name,
 ) -> Result<snapshot::Input, Error> {
     let zones = availability::by_name(&draft.zones);
-    let hosts = raw.hosts.iter().filter_map(|host| {
-        let zone = *zones.get(host.zone.as_str())?;
-        Some(Host {
-            name: entry::Name::try_from(host.name.as_str()).ok()?,
-            incarnation: host.incarnation(),
-            state: host.state.into(),
-            zone,
-            region: draft.zones[usize::from(zone.0)].region,
-            caller_address: host.caller_address,
-            relay_address: host.relay_address,
-        })
-    });
-    let hosts = hosts.collect();
+    let hosts = raw.hosts.iter().filter_map(|host| resolve(host, &draft)).collect();
     let named = (0u16..).zip(&draft.services);
     let services: Map<&str, service::Index> =
         named.map(|(i, service)| (service.name.as_str(), service::Index(i))).collect();
@@ -148,9 +136,13 @@
         })
     });
     let servers = servers.collect();
-    let vectors = |rows: Vec<Vec<u32>>| rows.into_iter().map(Vector::try_from).collect();
-    let shares: Result<Vec<Vec<Vector>>, shift::Error> =
-        raw.shares.into_iter().map(vectors).collect();
+    let rows = raw.shares.into_iter().zip(raw.failed).zip(raw.withheld);
+    let shares = rows.map(|((vectors, failed), withheld)| {
+        let vectors: Result<Vec<Vector>, shift::Error> =
+            vectors.into_iter().map(Vector::partial).collect();
+        Ok(snapshot::Shares { vectors: vectors?, failed, withheld })
+    });
+    let shares: Result<Vec<snapshot::Shares>, shift::Error> = shares.collect();
     Ok(snapshot::Input {
         version: document::Version(raw.version),
         blocks,
@@ -162,6 +154,20 @@
     })
 }
 
+/// Finds the zone of a host, or `None` if the document lacks it.
+pub fn resolve(host: &wire::Host, draft: &document::Draft) -> Option<Host> {
+    let zone = availability::find(&draft.zones, &host.zone)?;
+    Some(Host {
+        name: entry::Name::try_from(host.name.as_str()).ok()?,
+        incarnation: host.incarnation(),
+        state: host.state.into(),
+        zone,
+        region: draft.zones[usize::from(zone.0)].region,
+        caller_address: host.caller_address,
+        relay_address: host.relay_address,
+    })
+}
+
 /// Why a snapshot did not come into force.
 #[derive(Debug)]
 enum Error {
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -131,8 +131,12 @@
     let limit = described.limits.request_timeout;
     let wanted = names::number(&head.headers, &names::TIMEOUT_MS).map(Duration::from_millis);
     let deadline = Deadline(now + wanted.map_or(limit, |wanted| wanted.min(limit)));
-    let region = snapshot.next_region(service, snapshot.origin(caller));
-    Ok(Call { id, service, region, repeat, deadline })
+    let origin = snapshot.origin(caller);
+    let region = snapshot
+        .next_region(service, origin)
+        .or_else(|| snapshot.spill_region(service, origin, None, now))
+        .ok_or(Refusal::Capped)?;
+    Ok(Call { id, service, origin, region, repeat, deadline })
 }
 
 /// The authority without port, in lower case: of the URI in HTTP/2, of `Host` in HTTP/1.1.
--- /dev/null
+++ b/crates/node/src/entry/measure.rs
@@ -0,0 +1,58 @@
+//! Reports of what this daemon counts in flight, for its control daemon and all others.
+
+use bytes::Bytes;
+use http::Request;
+use oleanderspan::{prelude::*, region, service};
+use slog::debug;
+
+use crate::{
+    codec,
+    entry::{State, state::Snapshot},
+    http::Body,
+    wire,
+};
+
+/// The time between two reports.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// The longest time for one report.
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// Reports to the control daemon at `control` for ever.
+pub async fn run(state: State, control: SocketAddr) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let Some(snapshot) = state.snapshot() else { continue };
+        let observation = wire::Observation { leaving: Vec::new(), loads: Some(loads(&snapshot)) };
+        let Ok(body) = codec::to_wire(&observation) else { continue };
+        let request = Request::post(format!("http://{control}/observe"));
+        let Ok(request) = request.body(Body::from(Bytes::from(body))) else { continue };
+        if let Err(error) = state.control.call(request, LIMIT).await {
+            debug!(state.log, "load not reported"; "error" => %error);
+        }
+    }
+}
+
+/// The loads of all services and regions where this host dispatches, or did and has not ended.
+fn loads(snapshot: &Snapshot) -> Vec<wire::Load> {
+    let draft = &snapshot.draft;
+    let services = (0u16..).map(service::Index).zip(&draft.services);
+    let loads = services.flat_map(|(index, service)| {
+        let regions = (0u16..).map(region::Index).zip(&draft.regions);
+        regions.filter_map(move |(region_index, region)| {
+            let dispatcher = snapshot.dispatcher(index, region_index);
+            let dispatches = dispatcher.is_some_and(|host| snapshot.is_own(host));
+            let pool = snapshot.pool(index, region_index);
+            let in_flight = pool.gate().in_flight();
+            (dispatches || in_flight > 0).then(|| wire::Load {
+                service: service.name.to_string(),
+                region: region.name.to_string(),
+                limit: pool.gate().limit(),
+                queued: u32::try_from(pool.queued()).unwrap_or(u32::MAX),
+                dispatches,
+                in_flight,
+            })
+        })
+    });
+    loads.collect()
+}
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -69,10 +69,13 @@
         Some("harmless") => Repeat::Harmless,
         _ => Repeat::Forbidden,
     };
+    let region = region.ok_or(Refusal::Misdirected)?;
     Ok(Call {
         id,
         service: service.ok_or(Refusal::Misdirected)?,
-        region: region.ok_or(Refusal::Misdirected)?,
+        // The first hop has decided; where the caller belongs no longer matters.
+        origin: region,
+        region,
         repeat,
         deadline: Deadline(now + Duration::from_millis(left)),
     })
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -6,6 +6,11 @@
     document::raw,
     entry::host::{Incarnation, State},
     event::{Event, Kind, Stamp},
+    name, region, service,
+    shift::{
+        Stated, Statement,
+        statement::{Named, Share},
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +31,10 @@
     pub servers: Vec<Server>,
     /// Shares in force, in parts per million: by service, by region of the caller, by region.
     pub shares: Vec<Vec<Vec<u32>>>,
+    /// Regions that failed: by service, by region.
+    pub failed: Vec<Vec<bool>>,
+    /// Places that the host must leave free where it dispatches: by service, by region.
+    pub withheld: Vec<Vec<u32>>,
 }
 
 /// The blocks of a document.
@@ -110,6 +119,35 @@
 pub struct Observation {
     /// Servers that gave a sign of leaving, with their incarnation.
     pub leaving: Vec<(String, u64)>,
+    /// What it counts in flight, if this is a report of that.
+    #[serde(default)]
+    pub loads: Option<Vec<Load>>,
+}
+
+/// What an entry daemon counts for one service in one region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The name of the service.
+    pub service: String,
+    /// The name of the region.
+    pub region: String,
+    /// Whether the host dispatches there.
+    pub dispatches: bool,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// The most that it admits.
+    pub limit: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+/// Shares in force on a host, by name; those of zero are left out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shares {
+    /// The region of the host.
+    pub region: String,
+    /// In parts per million: by service, by region of the caller, by region.
+    pub services: BTreeMap<String, BTreeMap<String, BTreeMap<String, u32>>>,
 }
 
 /// One exchange between control daemons; the answer has the same form.
@@ -127,6 +165,12 @@
     pub document: String,
     /// Servers that are leaving, with their incarnation.
     pub leaving: Vec<(String, u64)>,
+    /// The shares that the sender has in force, once it has any.
+    #[serde(default)]
+    pub shares: Option<Shares>,
+    /// What the sender counts in flight.
+    #[serde(default)]
+    pub loads: Vec<Load>,
 }
 
 /// One event of the time line.
@@ -171,6 +215,42 @@
     }
 }
 
+impl From<&Statement> for Shares {
+    fn from(statement: &Statement) -> Shares {
+        let vector = |named: &Named| {
+            let shares = named.shares.iter().map(|share| (share.region.to_string(), share.ppm));
+            (named.origin.to_string(), shares.collect())
+        };
+        let service = |stated: &Stated| {
+            (stated.service.to_string(), stated.vectors.iter().map(vector).collect())
+        };
+        Shares {
+            region: statement.region.to_string(),
+            services: statement.services.iter().map(service).collect(),
+        }
+    }
+}
+
+impl TryFrom<&Shares> for Statement {
+    type Error = name::Error;
+
+    fn try_from(raw: &Shares) -> Result<Statement, name::Error> {
+        let share = |(region, ppm): (&String, &u32)| {
+            Ok(Share { region: region::Name::try_from(region.as_str())?, ppm: *ppm })
+        };
+        let vector = |(origin, shares): (&String, &BTreeMap<String, u32>)| {
+            let shares: Result<Vec<Share>, name::Error> = shares.iter().map(share).collect();
+            Ok(Named { origin: region::Name::try_from(origin.as_str())?, shares: shares? })
+        };
+        let services = raw.services.iter().map(|(service, vectors)| {
+            let vectors: Result<Vec<Named>, name::Error> = vectors.iter().map(vector).collect();
+            Ok(Stated { service: service::Name::try_from(service.as_str())?, vectors: vectors? })
+        });
+        let services: Result<Vec<Stated>, name::Error> = services.collect();
+        Ok(Statement { region: region::Name::try_from(raw.region.as_str())?, services: services? })
+    }
+}
+
 /// A kind of event that this build does not have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnknownKind(pub String);
--- a/crates/oleanderspan/src/region.rs
+++ b/crates/oleanderspan/src/region.rs
@@ -2,9 +2,15 @@
 
 pub mod budget;
 pub mod gate;
+pub mod handover;
+pub mod outage;
+pub mod pressure;
 
 pub use budget::Budget;
 pub use gate::Gate;
+pub use handover::Handover;
+pub use outage::Outage;
+pub use pressure::{Headroom, Load, Pressure};
 
 checked_name! {
     /// The name of a region.
@@ -34,6 +40,17 @@
     }
 }
 
+impl Link {
+    /// The other end, seen from `region`, if the link ends there.
+    pub fn other_end(&self, region: Index) -> Option<Index> {
+        match region {
+            region if region == self.a => Some(self.b),
+            region if region == self.b => Some(self.a),
+            _ => None,
+        }
+    }
+}
+
 impl TryFrom<u8> for Percent {
     type Error = Error;
 
--- a/crates/oleanderspan/src/region/budget.rs
+++ b/crates/oleanderspan/src/region/budget.rs
@@ -26,9 +26,26 @@
         Budget { nanos_per_kib, spent_until: AtomicU64::new(0) }
     }
 
+    /// Whether nothing is owed, so that more may be spent.
+    pub fn has_room(&self, now: Instant) -> bool {
+        self.nanos_per_kib != u64::MAX && self.spent_until.load(Ordering::Acquire) <= now.as_nanos()
+    }
+
+    /// Spends `bytes` that are on their way already, and may owe them.
+    pub fn spend(&self, bytes: u64, now: Instant) {
+        let cost = self.cost(bytes);
+        let floor = (now - BURST).as_nanos();
+        let spend = |until: u64| Some(until.max(floor).saturating_add(cost));
+        let _ = self.spent_until.fetch_update(Ordering::AcqRel, Ordering::Acquire, spend);
+    }
+
+    fn cost(&self, bytes: u64) -> u64 {
+        bytes.saturating_mul(self.nanos_per_kib) / 1024
+    }
+
     /// Spends `bytes`, or returns how long to wait before asking again.
     pub fn try_spend(&self, bytes: u64, now: Instant) -> Result<(), Duration> {
-        let cost = (bytes.saturating_mul(self.nanos_per_kib)) / 1024;
+        let cost = self.cost(bytes);
         let floor = (now - BURST).as_nanos();
         let spend = |until: u64| {
             let start = until.max(floor);
--- a/crates/oleanderspan/src/shift.rs
+++ b/crates/oleanderspan/src/shift.rs
@@ -1,20 +1,47 @@
 //! Shifts of traffic between regions: shares, caps, and how shares move.
 
+pub mod board;
 pub mod diffuser;
+pub mod plan;
 pub mod slew;
+pub mod spill;
+pub mod statement;
+pub mod target;
 
 use std::fmt;
 
+pub use board::Board;
 pub use diffuser::Diffuser;
+pub use plan::Plan;
 pub use slew::Slew;
+pub use spill::Spill;
+pub use statement::{Stated, Statement};
+pub use target::Target;
 
 use crate::{prelude::*, region};
 
 /// A whole, in parts per million.
 pub const WHOLE_PPM: u32 = 1_000_000;
 
+/// The part of a cap that moving shares use, in percent.
+const MOVE_PERCENT: u64 = 70;
+
+/// The part of a cap that covers how far shares of one host may lie from those of another.
+const SPREAD_PERCENT: u64 = 20;
+
+/// The part of a cap that requests may use which a region refused and another takes.
+const SPILL_PERCENT: u64 = 10;
+
+/// The longest time by which what a host knows of its peers' shares and of failed regions lags.
+pub const LAG: Duration = Duration::from_secs(3);
+
+/// The longest time that one step makes up for, as a divisor of the window.
+const STEP_DIVISOR: u32 = 20;
+
 value! {
     /// The shares of requests that each region gets, in parts per million of all.
+    ///
+    /// What is missing from the whole goes to no region: those requests are refused.
     pub struct Vector(Box<[u32]>);
 
     /// How much the share of a region may rise within a window of time.
@@ -55,6 +82,19 @@
         self.0.get(usize::from(region.0)).copied().unwrap_or(0)
     }
 
+    /// Shares of which a part may be missing, which is refused.
+    pub fn partial(raw: Vec<u32>) -> Result<Vector, Error> {
+        match sum(&raw) {
+            found_ppm if found_ppm > u64::from(WHOLE_PPM) => Err(Error::Sum { found_ppm }),
+            _ => Ok(Vector(raw.into())),
+        }
+    }
+
+    /// The share that goes to no region.
+    pub fn refused(&self) -> u32 {
+        WHOLE_PPM - self.0.iter().sum::<u32>()
+    }
+
     /// The greatest rise of any region's share from `self` to `later`.
     pub fn greatest_rise(&self, later: &Vector) -> u32 {
         self.0.iter().zip(&later.0).map(|(a, b)| b.saturating_sub(*a)).max().unwrap_or(0)
@@ -65,15 +105,17 @@
     type Error = Error;
 
     fn try_from(raw: Vec<u32>) -> Result<Vector, Error> {
-        let found_ppm = raw.iter().copied().map(u64::from).sum();
-        if found_ppm == u64::from(WHOLE_PPM) {
-            Ok(Vector(raw.into()))
-        } else {
-            Err(Error::Sum { found_ppm })
+        match sum(&raw) {
+            found_ppm if found_ppm == u64::from(WHOLE_PPM) => Ok(Vector(raw.into())),
+            found_ppm => Err(Error::Sum { found_ppm }),
         }
     }
 }
 
+fn sum(raw: &[u32]) -> u64 {
+    raw.iter().copied().map(u64::from).sum()
+}
+
 impl Cap {
     /// A cap of `percent` of all requests within `window`.
     pub fn new(percent: region::Percent, window: Duration) -> Result<Cap, Error> {
@@ -82,6 +124,31 @@
         }
         Ok(Cap { rise_ppm: percent.of(WHOLE_PPM), window })
     }
+
+    /// How far a share may move in one step after `elapsed`.
+    ///
+    /// The rate leaves room for what moves before a peer learns of it, and for the last step
+    /// before a window, so that all steps within one add up to the moving part of the cap.
+    pub fn step(&self, elapsed: Duration) -> u32 {
+        let longest = self.window / STEP_DIVISOR;
+        let whole = self.window + longest + LAG;
+        let step = u128::from(self.part(MOVE_PERCENT)) * elapsed.min(longest).as_nanos();
+        u32::try_from(step / whole.as_nanos()).unwrap_or(u32::MAX)
+    }
+
+    /// How far a share may lie from that of another host.
+    pub fn spread(&self) -> u32 {
+        self.part(SPREAD_PERCENT)
+    }
+
+    /// The share of requests that may spill over to other regions.
+    pub fn spill(&self) -> u32 {
+        self.part(SPILL_PERCENT)
+    }
+
+    fn part(&self, percent: u64) -> u32 {
+        (u64::from(self.rise_ppm) * percent / 100) as u32
+    }
 }
 
 impl fmt::Display for Error {
--- a/crates/oleanderspan/src/shift/slew.rs
+++ b/crates/oleanderspan/src/shift/slew.rs
@@ -2,10 +2,6 @@
 
 use crate::{prelude::*, shift};
 
-/// The part of a cap that a planned move uses, in percent; the rest covers the spread between
-/// hosts that learn of a change at different times, and the rounding of small counts.
-const USED_PERCENT: u64 = 80;
-
 /// The shares in force on this host, moving towards a target.
 #[derive(Clone, Debug)]
 pub struct Slew {
@@ -22,6 +18,30 @@
     Wait,
 }
 
+/// The range that each region's share must stay in, so that hosts stay close to each other.
+#[derive(Clone, Debug)]
+pub struct Range {
+    least: Box<[u32]>,
+    most: Box<[u32]>,
+}
+
+impl Range {
+    /// Any share of `regions` regions.
+    pub fn any(regions: usize) -> Range {
+        Range { least: vec![0; regions].into(), most: vec![shift::WHOLE_PPM; regions].into() }
+    }
+
+    /// Narrows the range to shares that lie at most `spread` from those of a peer.
+    pub fn narrow(&mut self, peer: &shift::Vector, spread: u32) {
+        for (least, share) in self.least.iter_mut().zip(peer.shares()) {
+            *least = (*least).max(share.saturating_sub(spread));
+        }
+        for (most, share) in self.most.iter_mut().zip(peer.shares()) {
+            *most = (*most).min(share.saturating_add(spread));
+        }
+    }
+}
+
 impl Slew {
     /// Starts from the shares in force, which come from peers or the recorded row.
     pub fn new(shares: shift::Vector, now: Instant) -> Slew {
@@ -33,22 +53,20 @@
         &self.shares
     }
 
-    /// Moves towards `target` as far as `cap` allows since the last move.
+    /// Moves towards `target` as far as `cap` allows since the last move, within `range`.
     ///
     /// Time that passed while the shift had to wait, or while the process was paused, is not
-    /// made up for: one step never exceeds what a twentieth of the window allows.
+    /// made up for: see [`shift::Cap::step`].
     pub fn advance(
         &mut self,
         target: &shift::Vector,
         cap: &shift::Cap,
         permit: Permit,
+        range: &Range,
         now: Instant,
     ) {
-        let elapsed = now.since(self.moved_at).min(cap.window / 20);
-        let usable = u128::from(cap.rise_ppm) * u128::from(USED_PERCENT) / 100;
-        let step = usable * elapsed.as_nanos() / cap.window.as_nanos();
-        let step = u32::try_from(step).unwrap_or(u32::MAX);
-        if permit == Permit::Wait {
+        let step = cap.step(now.since(self.moved_at));
+        if permit == Permit::Wait || self.shares == *target {
             self.moved_at = now;
             return;
         }
@@ -56,31 +74,42 @@
             return;
         }
         self.moved_at = now;
-        self.shares = stepped(&self.shares, target, step);
+        self.shares = stepped(&self.shares, target, step, range);
     }
 }
 
-/// Moves each share the same part of its way, so that no share rises by more than `step`.
-fn stepped(from: &shift::Vector, to: &shift::Vector, step: u32) -> shift::Vector {
-    let rise = from.greatest_rise(to);
-    if rise <= step {
-        return to.clone();
-    }
-    let (step, rise) = (i64::from(step), i64::from(rise));
-    let moved = from.shares().iter().zip(to.shares()).map(|(a, b)| {
-        let way = i64::from(*b) - i64::from(*a);
-        // Rounds rises down and falls towards zero; the remainder stays where traffic was.
-        i64::from(*a) + way * step / rise
-    });
-    let mut shares: Vec<u32> = moved.map(|share| share as u32).collect();
-    let sum: u32 = shares.iter().sum();
-    let origin = largest_fall(from, to);
-    shares[origin] =
-        (i64::from(shares[origin]) + i64::from(shift::WHOLE_PPM) - i64::from(sum)) as u32;
-    shift::Vector::try_from(shares).unwrap_or_else(|_| from.clone())
+/// Moves shares from regions that may fall to regions that may rise, none of these by more than
+/// `step`, and none out of `range`.
+///
+/// A region that may not move holds up none of the others: hosts that each lead in another
+/// region would wait for each other for ever. What goes to no region falls like the share of one.
+fn stepped(from: &shift::Vector, to: &shift::Vector, step: u32, range: &Range) -> shift::Vector {
+    let ends = || from.shares().iter().zip(to.shares());
+    let rises = ends().zip(&range.most);
+    let rises: Vec<u32> =
+        rises.map(|((a, b), most)| b.min(most).saturating_sub(*a).min(step)).collect();
+    let falls = ends().zip(&range.least);
+    let mut falls: Vec<u32> =
+        falls.map(|((a, b), least)| a.saturating_sub(*b.max(least))).collect();
+    falls.push(from.refused().saturating_sub(to.refused()));
+    let moved = rises.iter().sum::<u32>().min(falls.iter().sum());
+    let rises = divided(moved, &rises);
+    let falls = divided(moved, &falls);
+    let shares = from.shares().iter().zip(rises).zip(falls);
+    let shares = shares.map(|((share, rise), fall)| share + rise - fall).collect();
+    shift::Vector::partial(shares).unwrap_or_else(|_| from.clone())
 }
 
-fn largest_fall(from: &shift::Vector, to: &shift::Vector) -> usize {
-    let falls = from.shares().iter().zip(to.shares()).map(|(a, b)| a.saturating_sub(*b));
-    falls.enumerate().max_by_key(|(_, fall)| *fall).map_or(0, |(i, _)| i)
+/// Divides `whole` in proportion to `parts`, none of which is exceeded; they add up to no less.
+fn divided(whole: u32, parts: &[u32]) -> Vec<u32> {
+    let sum: u64 = parts.iter().copied().map(u64::from).sum::<u64>().max(1);
+    let floor = |part: &u32| (u64::from(*part) * u64::from(whole) / sum) as u32;
+    let mut divided: Vec<u32> = parts.iter().map(floor).collect();
+    let mut rest = whole - divided.iter().sum::<u32>();
+    for (share, part) in divided.iter_mut().zip(parts) {
+        let more = rest.min(part - *share);
+        *share += more;
+        rest -= more;
+    }
+    divided
 }
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -7,10 +7,10 @@
 use crate::{
     backend::{self, Pool, Server, Waiter},
     caller, document,
-    entry::{self, Answer, Host, rank},
+    entry::{self, Answer, Host, host::State, rank},
     prelude::*,
     region, request, service,
-    shift::{self, Diffuser},
+    shift::{self, Diffuser, Spill},
 };
 
 /// A backend server as the platform lists it, resolved against the document.
@@ -41,12 +41,32 @@
     pub hosts: Vec<Host>,
     /// Backend servers.
     pub servers: Vec<Listing>,
-    /// Shares in force by service and by the region of the caller.
-    pub shares: Vec<Vec<shift::Vector>>,
+    /// What moves, by service.
+    pub shares: Vec<Shares>,
     /// The name of this host.
     pub own: entry::Name,
 }
 
+/// Where the requests of one service may go.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    /// Shares in force by the region of the caller.
+    pub vectors: Vec<shift::Vector>,
+    /// Regions that failed, by region index.
+    pub failed: Vec<bool>,
+    /// Places that this host must leave free where it dispatches, by region index.
+    pub withheld: Vec<u32>,
+}
+
+/// The budgets of a link as this host may use them for requests that it sends on.
+#[derive(Debug)]
+pub struct Link {
+    /// For requests, in the direction of the other region.
+    pub requests: region::Budget,
+    /// For their answers, in the other direction.
+    pub answers: region::Budget,
+}
+
 /// All that is in force on a host; `W` is how the front end waits for a slot.
 #[derive(Debug)]
 pub struct Snapshot<W> {
@@ -60,15 +80,25 @@
     authorities: Map<Box<str>, service::Index>,
     answers: Box<[Answer]>,
     services: Box<[Row<W>]>,
-    links: Map<(region::Index, region::Index), Arc<region::Budget>>,
+    links: Arc<Links>,
     own: entry::Name,
 }
 
+/// The links from the region of this host, and what they were made from.
+#[derive(Debug)]
+struct Links {
+    rates: Vec<(region::Index, u64)>,
+    links: Map<region::Index, Arc<Link>>,
+}
+
 /// The moving parts of one service.
 #[derive(Debug)]
 struct Row<W> {
-    shares: Vec<shift::Vector>,
+    vectors: Vec<shift::Vector>,
+    failed: Vec<bool>,
     diffusers: Arc<[Diffuser]>,
+    spills: Arc<[Spill]>,
+    cap: shift::Cap,
     retries: Arc<request::retry::Budget>,
     hedges: Arc<request::retry::Budget>,
     targets: Box<[Target<W>]>,
@@ -79,6 +109,7 @@
 struct Target<W> {
     dispatcher: Option<usize>,
     pool: Arc<Pool<W>>,
+    pressure: Arc<region::Pressure>,
 }
 
 impl<W: Waiter> Snapshot<W> {
@@ -90,9 +121,15 @@
             (0u16..).zip(&draft.services).zip(input.shares).map(|((i, service), shares)| {
                 let index = service::Index(i);
                 let listed = input.servers.iter().filter(|server| server.service == index);
+                let source = Source {
+                    draft: &draft,
+                    service,
+                    hosts: &input.hosts,
+                    listed: listed.collect(),
+                };
                 let prior =
                     prior.and_then(|prior| prior.row(&service.name).map(|row| (prior, row)));
-                Row::new(&draft, service, shares, &input.hosts, listed, prior)
+                Row::new(&source, shares, prior)
             });
         let authorities = (0u16..).zip(&draft.services).flat_map(|(i, service)| {
             service.authorities.iter().map(move |a| (a.clone(), service::Index(i)))
@@ -102,7 +139,7 @@
             answers: answers.collect(),
             services: services.collect(),
             authorities: authorities.collect(),
-            links: links(&draft, prior),
+            links: links(&draft, &input.hosts, &input.own, prior),
             blocks: input.blocks,
             hosts: input.hosts,
             own: input.own,
@@ -141,11 +178,57 @@
         }
     }
 
-    /// Chooses the region for the next request of `service` from callers of `origin`.
-    pub fn next_region(&self, service: service::Index, origin: region::Index) -> region::Index {
+    /// Chooses the region for the next request of `service` from callers of `origin`, or `None`
+    /// if the caps let it go nowhere.
+    pub fn next_region(
+        &self,
+        service: service::Index,
+        origin: region::Index,
+    ) -> Option<region::Index> {
         let row = &self.services[usize::from(service.0)];
         let origin = usize::from(origin.0);
-        row.diffusers[origin].next(&row.shares[origin])
+        row.spills[origin].earn();
+        row.diffusers[origin].next(&row.vectors[origin])
+    }
+
+    /// Chooses another region for a request that `refused` did not take, within the part of the
+    /// cap that is left for that.
+    pub fn spill_region(
+        &self,
+        service: service::Index,
+        origin: region::Index,
+        refused: Option<region::Index>,
+        now: Instant,
+    ) -> Option<region::Index> {
+        let row = &self.services[usize::from(service.0)];
+        let planned = &self.draft.services[usize::from(service.0)].instances;
+        let able = (0u16..).map(region::Index).zip(planned).filter(|(region, planned)| {
+            **planned > 0
+                && Some(*region) != refused
+                && !self.is_failed(service, *region)
+                && !self.pressure(service, *region).is_high(now)
+                && self.has_way(*region, now)
+        });
+        let (best, _) = able.max_by_key(|(_, planned)| **planned)?;
+        row.spills[usize::from(origin.0)].try_spend().then_some(best)
+    }
+
+    /// Whether a region failed for a service, as far as this host knows.
+    pub fn is_failed(&self, service: service::Index, region: region::Index) -> bool {
+        let row = &self.services[usize::from(service.0)];
+        row.failed.get(usize::from(region.0)).copied().unwrap_or(false)
+    }
+
+    /// When a region last refused requests of this host.
+    pub fn pressure(&self, service: service::Index, region: region::Index) -> &region::Pressure {
+        &self.target(service, region).pressure
+    }
+
+    /// Whether the link to a region has budget left.
+    fn has_way(&self, region: region::Index, now: Instant) -> bool {
+        let is_own = self.own_host().is_some_and(|host| host.region == region);
+        let has_room = |link: &Arc<Link>| link.requests.has_room(now) && link.answers.has_room(now);
+        is_own || self.link(region).is_some_and(has_room)
     }
 
     /// The host that dispatches for `service` in `region`.
@@ -168,9 +251,9 @@
         &self.services[usize::from(service.0)].hedges
     }
 
-    /// The budget of the link between two regions, or `None` if they have no link.
-    pub fn link(&self, from: region::Index, to: region::Index) -> Option<&region::Budget> {
-        self.links.get(&(from, to)).map(Arc::as_ref)
+    /// The link from the region of this host to another, or `None` if there is none.
+    pub fn link(&self, to: region::Index) -> Option<&Arc<Link>> {
+        self.links.links.get(&to)
     }
 
     /// This host as the others see it.
@@ -193,45 +276,70 @@
     }
 }
 
+/// What the moving parts of a service are built from.
+struct Source<'a> {
+    draft: &'a document::Draft,
+    service: &'a service::Service,
+    hosts: &'a [Host],
+    listed: Vec<&'a Listing>,
+}
+
 impl<W: Waiter> Row<W> {
-    fn new<'a>(
-        draft: &document::Draft,
-        service: &service::Service,
-        shares: Vec<shift::Vector>,
-        hosts: &[Host],
-        listed: impl Iterator<Item = &'a Listing>,
-        prior: Option<(&Snapshot<W>, &Row<W>)>,
-    ) -> Row<W> {
-        let listed: Vec<&Listing> = listed.collect();
-        let regions = draft.regions.len();
-        let targets = (0u16..).zip(&draft.regions).map(|(i, region)| {
+    fn new(source: &Source<'_>, shares: Shares, prior: Option<(&Snapshot<W>, &Row<W>)>) -> Row<W> {
+        let regions = &source.draft.regions;
+        let targets = (0u16..).zip(regions).map(|(i, region)| {
             let kept = prior.and_then(|(prior, row)| {
                 let position = region::find(&prior.draft.regions, region.name.as_str())?;
-                Some(Arc::clone(&row.targets[usize::from(position.0)].pool))
+                row.targets.get(usize::from(position.0))
             });
-            let pool = kept.unwrap_or_default();
-            let here = |listing: &&&Listing| {
-                draft.zones[usize::from(listing.zone.0)].region == region::Index(i)
-            };
-            refill(&pool, draft, service, region, listed.iter().filter(here));
-            Target { dispatcher: dispatcher(service, region, region::Index(i), hosts), pool }
+            let withheld = shares.withheld.get(usize::from(i)).copied().unwrap_or(0);
+            Target::new(source, region::Index(i), withheld, kept)
         });
+        let service = source.service;
         let limits = &service.limits;
+        let regions = regions.len();
         let kept = prior.map(|(_, row)| row).filter(|row| row.diffusers.len() == regions);
+        let same_cap = kept.filter(|row| row.cap == service.shift);
         let budget = |share| Arc::new(request::retry::Budget::new(share));
         Row {
             targets: targets.collect(),
-            shares,
+            vectors: shares.vectors,
+            failed: shares.failed,
             diffusers: kept.map_or_else(
                 || (0..regions).map(|_| Diffuser::new(regions)).collect(),
                 |row| Arc::clone(&row.diffusers),
             ),
+            spills: same_cap.map_or_else(
+                || (0..regions).map(|_| Spill::new(&service.shift)).collect(),
+                |row| Arc::clone(&row.spills),
+            ),
+            cap: service.shift.clone(),
             retries: kept.map_or_else(|| budget(limits.retries), |row| Arc::clone(&row.retries)),
             hedges: kept.map_or_else(|| budget(limits.hedges), |row| Arc::clone(&row.hedges)),
         }
     }
 }
 
+impl<W: Waiter> Target<W> {
+    fn new(
+        source: &Source<'_>,
+        index: region::Index,
+        withheld: u32,
+        kept: Option<&Target<W>>,
+    ) -> Target<W> {
+        let region = &source.draft.regions[usize::from(index.0)];
+        let pool = kept.map(|target| Arc::clone(&target.pool)).unwrap_or_default();
+        let pressure = kept.map(|target| Arc::clone(&target.pressure)).unwrap_or_default();
+        let here =
+            |listing: &&&Listing| source.draft.zones[usize::from(listing.zone.0)].region == index;
+        // Before the update, which lets waiters in.
+        pool.gate().set_reported(withheld);
+        refill(&pool, source.draft, source.service, region, source.listed.iter().filter(here));
+        let dispatcher = dispatcher(source.service, &source.draft.regions, index, source.hosts);
+        Target { dispatcher, pool, pressure }
+    }
+}
+
 /// Puts the listed servers into the pool; those that it knows keep their counts.
 fn refill<'a, W: Waiter>(
     pool: &Pool<W>,
@@ -267,12 +375,13 @@
 
 /// The position of the host that dispatches: the first by rank among those of the region, or
 /// among all where the region has none.
-fn dispatcher(
+pub fn dispatcher(
     service: &service::Service,
-    region: &region::Region,
+    regions: &[region::Region],
     index: region::Index,
     hosts: &[Host],
 ) -> Option<usize> {
+    let region = regions.get(usize::from(index.0))?;
     let subject = format!("{}/{}", service.name, region.name);
     let able = |host: &&(usize, &Host)| host.1.dispatches();
     let numbered: Vec<(usize, &Host)> = hosts.iter().enumerate().collect();
@@ -283,19 +392,43 @@
     first.or_else(any).map(|(position, _)| *position)
 }
 
-/// The budgets of all links in both directions; a link that did not change keeps what it spent.
+/// The part of a link that requests of all hosts may use, in percent.
+const REQUESTS_PERCENT: u64 = 25;
+
+/// The part of a link that answers may use, in percent; the rest covers hosts that do not agree
+/// how many of them there are.
+const ANSWERS_PERCENT: u64 = 65;
+
+/// The links from the region of this host, each divided by the hosts that are there; a link
+/// whose part did not change keeps what it spent.
 fn links<W: Waiter>(
     draft: &document::Draft,
+    hosts: &[Host],
+    own: &entry::Name,
     prior: Option<&Snapshot<W>>,
-) -> Map<(region::Index, region::Index), Arc<region::Budget>> {
-    let unchanged = prior.filter(|prior| {
-        prior.draft.links == draft.links && prior.draft.regions.len() == draft.regions.len()
-    });
-    if let Some(prior) = unchanged {
-        return prior.links.clone();
+) -> Arc<Links> {
+    let Some(own) = hosts.iter().find(|host| host.name == *own) else {
+        return Arc::new(Links { rates: Vec::new(), links: Map::default() });
+    };
+    let near = hosts.iter().filter(|host| host.region == own.region && host.state != State::Gone);
+    let near = near.count().max(1) as u64;
+    let rates: Vec<(region::Index, u64)> = draft
+        .links
+        .iter()
+        .filter_map(|link| Some((link.other_end(own.region)?, link.bytes_per_second / near)))
+        .collect();
+    let prior = prior.map(|prior| &prior.links);
+    if let Some(prior) = prior.filter(|prior| prior.rates == rates) {
+        return Arc::clone(prior);
     }
-    let both = draft.links.iter().flat_map(|link| {
-        [(link.a, link.b), (link.b, link.a)].map(|ends| (ends, link.bytes_per_second))
+    let links = rates.iter().map(|(to, rate)| {
+        let kept = prior.filter(|prior| prior.rates.contains(&(*to, *rate)));
+        let kept = kept.and_then(|prior| prior.links.get(to)).cloned();
+        let part = |percent| region::Budget::new(rate * percent / 100);
+        let link = kept.unwrap_or_else(|| {
+            Arc::new(Link { requests: part(REQUESTS_PERCENT), answers: part(ANSWERS_PERCENT) })
+        });
+        (*to, link)
     });
-    both.map(|(ends, rate)| (ends, Arc::new(region::Budget::new(rate)))).collect()
+    Arc::new(Links { links: links.collect(), rates })
 }
--- a/crates/oleanderspan/tests/shift.rs
+++ b/crates/oleanderspan/tests/shift.rs
@@ -7,7 +7,10 @@
 use oleanderspan::{
     clock::Instant,
     region::Percent,
-    shift::{Cap, Diffuser, Slew, Vector, WHOLE_PPM, slew::Permit},
+    shift::{
+        Cap, Diffuser, Slew, Spill, Vector, WHOLE_PPM,
+        slew::{Permit, Range},
+    },
 };
 use proptest::prelude::*;
 
@@ -28,7 +31,7 @@
     fn a_shift_never_rises_faster_than_its_cap(
         from in vector(),
         targets in prop::collection::vec(vector(), 1..4),
-        steps in prop::collection::vec(1u64..5_000, 1..200),
+        steps in prop::collection::vec(1u64..60_000, 1..200),
         percent in 1u8..=100,
     ) {
         let window = Duration::from_secs(10);
@@ -38,7 +41,9 @@
         let mut history = vec![(now, slew.shares().clone())];
         for (i, step) in steps.iter().enumerate() {
             now = now + Duration::from_millis(*step);
-            slew.advance(&targets[i % targets.len()], &cap, Permit::Go, now);
+            // Shares stay as they are until the step, also through a long pause.
+            history.push((now, slew.shares().clone()));
+            slew.advance(&targets[i % targets.len()], &cap, Permit::Go, &Range::any(4), now);
             history.push((now, slew.shares().clone()));
         }
         for (i, (start, first)) in history.iter().enumerate() {
@@ -55,7 +60,8 @@
         let diffuser = Diffuser::new(4);
         let mut counts = [0u32; 4];
         for _ in 0..requests {
-            counts[usize::from(diffuser.next(&shares).0)] += 1;
+            let region = diffuser.next(&shares).unwrap();
+            counts[usize::from(region.0)] += 1;
         }
         for (count, share) in counts.iter().zip(shares.shares()) {
             let wanted = requests as f64 * f64::from(*share) / f64::from(WHOLE_PPM);
@@ -64,6 +70,39 @@
     }
 }
 
+proptest! {
+    #[test]
+    fn spilled_requests_stay_within_their_part_of_the_cap(
+        percent in 1u8..=100,
+        arrivals in prop::collection::vec(any::<bool>(), 1..2_000),
+    ) {
+        let cap = Cap::new(Percent::try_from(percent).unwrap(), Duration::from_secs(10)).unwrap();
+        let spill = Spill::new(&cap);
+        let mut spilled = Vec::new();
+        for refused in &arrivals {
+            spill.earn();
+            spilled.push(u64::from(*refused && spill.try_spend()));
+        }
+        // Over any run of requests, and at most one whole request more.
+        let mut sums = vec![0];
+        sums.extend(spilled.iter().scan(0, |sum, one| { *sum += one; Some(*sum) }));
+        for (start, first) in sums.iter().enumerate() {
+            for (end, last) in sums.iter().enumerate().skip(start) {
+                let allowed = (end - start) as u64 * u64::from(cap.spill()) / u64::from(WHOLE_PPM);
+                prop_assert!(last - first <= allowed + 1);
+            }
+        }
+    }
+}
+
+#[test]
+fn what_goes_to_no_region_is_refused_in_proportion() {
+    let shares = Vector::partial(vec![600_000, 0, 150_000]).unwrap();
+    let diffuser = Diffuser::new(3);
+    let refused = (0..100).filter(|_| diffuser.next(&shares).is_none()).count();
+    assert_eq!(refused, 25);
+}
+
 #[test]
 fn a_shift_reaches_its_target_and_waits_when_told() {
     let cap = Cap::new(Percent::try_from(10).unwrap(), Duration::from_secs(10)).unwrap();
@@ -73,12 +112,12 @@
     let mut now = Instant::ZERO;
     for _ in 0..100 {
         now = now + Duration::from_millis(250);
-        slew.advance(&target, &cap, Permit::Wait, now);
+        slew.advance(&target, &cap, Permit::Wait, &Range::any(2), now);
     }
     assert_eq!(slew.shares(), &from);
-    for _ in 0..600 {
+    for _ in 0..1_000 {
         now = now + Duration::from_millis(250);
-        slew.advance(&target, &cap, Permit::Go, now);
+        slew.advance(&target, &cap, Permit::Go, &Range::any(2), now);
     }
     assert_eq!(slew.shares(), &target);
 }
