--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,5 +4,7 @@
 
 pub mod deployment;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod sample;
+pub mod scale;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,6 +5,7 @@
 pub mod acceptance;
 pub mod exchange;
 pub mod listing;
+pub mod membership;
 pub mod operator;
 pub mod publication;
 pub mod shares;
@@ -34,7 +35,11 @@
         tokio::spawn(publication::run(state.clone())),
         tokio::spawn(shares::record(state.clone())),
     ];
-    server::serve(peers, exchange::Peer(state.clone()), stop).await;
+    let goodbye = async {
+        stop.cancelled().await;
+        exchange::say_goodbye(&state).await;
+    };
+    tokio::join!(server::serve(peers, exchange::Peer(state.clone()), stop.clone()), goodbye);
     for task in &tasks {
         task.abort();
     }
--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     control::{
-        State,
+        State, membership,
         shares::{self, Moves},
         state::{Accepted, Inner},
     },
@@ -26,18 +26,23 @@
 
 fn publish(state: &State) {
     let was_moving = shares::is_moving(state);
+    let had_shares = shares::are_in_force(state);
     publish_next(state);
     shares::note_moves(state, was_moving);
+    if shares::are_in_force(state) != had_shares {
+        membership::refresh(state);
+    }
 }
 
 fn publish_next(state: &State) {
-    let own = state.own_host();
+    let hosts = state.roster.hosts();
     let now = state.clock.now();
     let mut inner = state.lock();
     let Some(accepted) = inner.accepted.clone() else { return };
-    let Some(moves) = shares::advance(&mut inner, &accepted, &own, now) else { return };
+    let own = &state.settings.host.name;
+    let Some(moves) = shares::advance(&mut inner, &accepted, own, &hosts, now) else { return };
     let sequence = inner.snapshot.as_ref().map_or(0, |snapshot| snapshot.sequence);
-    let next = compose(&inner, &accepted, own, moves, sequence + 1);
+    let next = compose(&inner, &accepted, hosts, moves, sequence + 1);
     if inner.snapshot.as_ref().is_none_or(|last| differs(last, &next)) {
         inner.snapshot = Some(Arc::new(next));
     }
@@ -46,21 +51,18 @@
 fn compose(
     inner: &Inner,
     accepted: &Accepted,
-    own: wire::Host,
+    hosts: Vec<wire::Host>,
     moves: Moves,
     sequence: u64,
 ) -> wire::Snapshot {
     let document = raw::Document { blocks: BTreeMap::new(), ..(*accepted.raw).clone() };
-    let mut hosts: Vec<wire::Host> = inner.hosts.values().map(|peer| peer.host.clone()).collect();
-    hosts.push(own);
-    hosts.sort_by(|a, b| a.name.cmp(&b.name));
     let servers = inner.list.servers.iter().map(|server| wire::Server {
         name: server.name.clone(),
         incarnation: server.incarnation,
         service: server.service.clone(),
         zone: server.zone.clone(),
         address: server.address,
-        leaving: inner.leaving.contains(&(server.name.clone(), server.incarnation)),
+        leaving: inner.signs.has(&server.name, server.incarnation),
     });
     wire::Snapshot {
         sequence,
--- a/crates/node/src/control/shares.rs
+++ b/crates/node/src/control/shares.rs
@@ -34,7 +34,7 @@
 const LEARN_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The age above which a load no longer counts as a measurement.
-const FRESH: Duration = Duration::from_secs(3);
+const FRESH: Duration = Duration::from_secs(5);
 
 /// The age above which the requests in flight that a host told of count as ended.
 const ENDED: Duration = Duration::from_millis(4_500);
@@ -102,17 +102,15 @@
         self.board.statement().as_ref().map(wire::Shares::from)
     }
 
-    /// What the own entry daemon counts in flight.
-    pub fn own_loads(&self) -> Vec<wire::Load> {
-        self.own_loads.clone()
-    }
-
     /// Claims of other hosts on a service in a region.
-    fn claims(&self, place: &Place, in_sight: &[Host], now: Instant) -> Vec<Claim> {
-        let recent = self.loads.iter().filter(|(_, heard)| now.since(heard.at) < ENDED);
+    fn claims(&self, place: &Place, own: &Host, hosts: &[Host], now: Instant) -> Vec<Claim> {
+        let is_recent = |(host, heard): &(&String, &Heard)| {
+            own.name.as_str() != *host && now.since(heard.at) < ENDED
+        };
+        let recent = self.loads.iter().filter(is_recent);
         let claim = |(host, heard): (&String, &Heard)| {
             let load = heard.loads.iter().find(|load| is_at(load, place))?;
-            let is_seen = in_sight.iter().any(|seen| seen.name.as_str() == host);
+            let is_seen = hosts.iter().any(|seen| seen.name.as_str() == host);
             Some(Claim { in_flight: load.in_flight, dispatches: load.dispatches && is_seen })
         };
         recent.filter_map(claim).collect()
@@ -134,17 +132,23 @@
     load.service == place.service.as_str() && load.region == place.region.as_str()
 }
 
+/// What this host says of its shares and loads.
+pub fn section(state: &State) -> wire::Distribution {
+    let inner = state.lock();
+    wire::Distribution { shares: inner.shares.message(), loads: inner.shares.own_loads.clone() }
+}
+
 /// Takes note of what a peer said of its shares and loads.
-pub fn take_over(state: &State, heard: &wire::Exchange) {
+pub fn take_over(state: &State, from: &wire::Host, heard: &wire::Distribution) {
     let now = state.clock.now();
-    let name = entry::Name::try_from(heard.from.name.as_str());
+    let name = entry::Name::try_from(from.name.as_str());
     let statement = heard.shares.as_ref().map(Statement::try_from);
     let mut inner = state.lock();
     if let (Ok(name), Some(Ok(statement))) = (name, statement) {
         inner.shares.board.note_peer(name, statement, now);
     }
     let loads = Heard { loads: heard.loads.clone(), at: now };
-    inner.shares.loads.insert(heard.from.name.clone(), loads);
+    inner.shares.loads.insert(from.name.clone(), loads);
 }
 
 /// Takes note of what the own entry daemon counts in flight.
@@ -160,14 +164,14 @@
 pub fn advance(
     inner: &mut Inner,
     accepted: &Accepted,
-    own: &wire::Host,
+    own: &entry::Name,
+    hosts: &[wire::Host],
     now: Instant,
 ) -> Option<Moves> {
     let draft = &*accepted.draft;
-    let own = feed::resolve(own, draft)?;
-    let mut hosts: Vec<Host> =
-        inner.hosts.values().filter_map(|peer| feed::resolve(&peer.host, draft)).collect();
-    let failed = failed(inner, draft, &own, &hosts, now);
+    let hosts: Vec<Host> = hosts.iter().filter_map(|host| feed::resolve(host, draft)).collect();
+    let own = hosts.iter().find(|host| host.name == *own)?;
+    let failed = failed(inner, draft, own, &hosts, now);
     let shares = &mut inner.shares;
     shares.loads.retain(|_, heard| now.since(heard.at) < ENDED);
     let places = draft.services.iter().map(|service| places(service, draft));
@@ -187,15 +191,13 @@
     if !shares.board.is_in_force() {
         return None;
     }
-    let in_sight = hosts.clone();
-    hosts.push(own.clone());
     let services = draft.services.iter().zip(&places);
     let withheld = services.map(|(service, places)| {
         let regions = (0u16..).map(region::Index).zip(places);
         let withheld = regions.map(|(region, place)| {
             let first = snapshot::dispatcher(service, &draft.regions, region, &hosts);
             let is_own = first.is_some_and(|first| hosts[first].name == own.name);
-            let claims = shares.claims(place, &in_sight, now);
+            let claims = shares.claims(place, own, &hosts, now);
             let before = shares.handovers.get(place).copied().unwrap_or(Handover::Elsewhere);
             let next = before.next(is_own, &claims, now);
             shares.handovers.insert(place.clone(), next);
@@ -239,7 +241,7 @@
     let zones = oleanderspan::availability::by_name(&draft.zones);
     let mut has_server: Set<(&str, region::Index)> = Set::default();
     for server in &inner.list.servers {
-        let is_leaving = inner.leaving.contains(&(server.name.clone(), server.incarnation));
+        let is_leaving = inner.signs.has(&server.name, server.incarnation);
         if let Some(zone) = zones.get(server.zone.as_str()).filter(|_| !is_leaving) {
             has_server.insert((&server.service, draft.zones[usize::from(zone.0)].region));
         }
@@ -326,11 +328,10 @@
 /// Whether this host is the first by rank among those that are live.
 fn is_first(state: &State) -> bool {
     let own = state.settings.host.name.as_str();
-    let inner = state.lock();
-    let live = inner.hosts.iter().filter(|(_, peer)| peer.host.state == wire::HostState::Live);
-    let mut names: Vec<&str> = live.map(|(name, _)| name.as_str()).collect();
-    names.push(own);
-    rank::first(&names, &row_key(state), |name| name) == Some(&own)
+    let mut hosts = state.roster.hosts();
+    hosts.retain(|host| host.state == wire::HostState::Live);
+    let first = rank::first(&hosts, &row_key(state), |host| &host.name);
+    first.is_some_and(|first| first.name == own)
 }
 
 /// Records in the time line that shares began or ceased to move.
@@ -341,6 +342,11 @@
     }
 }
 
+/// Whether shares are in force.
+pub fn are_in_force(state: &State) -> bool {
+    state.lock().shares.board.is_in_force()
+}
+
 /// Whether shares moved at the last look.
 pub fn is_moving(state: &State) -> bool {
     state.lock().shares.moving
--- a/crates/node/src/entry/measure.rs
+++ b/crates/node/src/entry/measure.rs
@@ -23,7 +23,7 @@
     loop {
         tokio::time::sleep(INTERVAL).await;
         let Some(snapshot) = state.snapshot() else { continue };
-        let observation = wire::Observation { leaving: Vec::new(), loads: Some(loads(&snapshot)) };
+        let observation = wire::Observation { loads: Some(loads(&snapshot)), ..Default::default() };
         let Ok(body) = codec::to_wire(&observation) else { continue };
         let request = Request::post(format!("http://{control}/observe"));
         let Ok(request) = request.body(Body::from(Bytes::from(body))) else { continue };
