Bound spill-over, links and the handover of dispatch

Cause: a refusal of one region went straight to the caller, answers over a link were counted nowhere, and a host that took over dispatch admitted up to the full ceiling beside the one before.

Change: a request that a region refused as not run goes once to another region if `shift::Spill` (10 % of the shift cap, a count in atomics) and the link allow it; a region that refused within the last second gets none. A region that failed is refused `capped` at once. A host's part of a link is the budget divided by the hosts of its region, 25 % for requests and 65 % for answers; answers are counted as they arrive (`http::Meter`) and may owe. `region:: Handover`: a host that takes over holds for 0.75 s at least, so that hosts that take over at once hear of each other, until nobody else says that it may admit, 3 s at most; hosts that still disagree then leave each other their part. Callers are no longer sent to a host whose control daemon has been silent for 2.5 s, since shares move on without it; it goes on serving.

The price: a takeover makes requests wait 0.75 s at least, and up to 3 s if the host before does not yield (then those over the queue limit of 2 s are refused `overloaded`, not run).

Conclusion: while hosts hear each other within 3 s, dispatchers never exceed the ceiling together. Not covered: requests that a frozen host had in flight, and hosts of one region that cannot hear each other; there the servers' own shedding is the backstop.

--- a/crates/lab/tests/local/mod.rs
+++ b/crates/lab/tests/local/mod.rs
@@ -136,6 +136,7 @@
         blocks: Arc::new(caller::Index::new(&draft.blocks)),
         hosts: vec![own.clone()],
         servers: listed.collect(),
+        is_stale: false,
         shares: vec![snapshot::Shares {
             vectors: vec![home; draft.regions.len()],
             failed: Vec::new(),
--- a/crates/node/src/control/shares.rs
+++ b/crates/node/src/control/shares.rs
@@ -102,6 +102,86 @@
         self.board.statement().as_ref().map(wire::Shares::from)
     }
 
+    fn advance(
+        &mut self,
+        inner: &Inner,
+        accepted: &Accepted,
+        able: &[Vec<bool>],
+        own: &Host,
+        hosts: &[Host],
+        now: Instant,
+    ) -> Option<Moves> {
+        let draft = &*accepted.draft;
+        self.loads.retain(|_, heard| now.since(heard.at) < ENDED);
+        let places: Vec<Vec<Place>> =
+            draft.services.iter().map(|service| places(service, draft)).collect();
+        let failed = self.failed(&places, able, now);
+        let headroom: Vec<Vec<Headroom>> = places
+            .iter()
+            .map(|places| places.iter().map(|place| self.headroom(place, now)).collect())
+            .collect();
+        let view = View {
+            version: accepted.version,
+            draft,
+            own: own.region,
+            failed: &failed,
+            headroom: &headroom,
+        };
+        self.moving = self.board.tick(&view, now);
+        if !self.board.is_in_force() {
+            return None;
+        }
+        let servers = live_servers(inner, draft);
+        let services = draft.services.iter().zip(&places);
+        let withheld = services.map(|(service, places)| {
+            let live = |region| servers.get(&(service.name.as_str(), region)).copied();
+            let regions = (0u16..).map(region::Index).zip(places).zip(&draft.regions);
+            let withheld = regions.map(|((index, place), region)| {
+                let first = snapshot::dispatcher(service, &draft.regions, index, hosts);
+                let is_own = first.is_some_and(|first| hosts[first].name == own.name);
+                let ceiling = service.ceiling(region, live(index).unwrap_or(0));
+                let claims = self.claims(place, own, hosts, now);
+                self.hand_over(place, is_own, &claims, now).withheld(&claims, ceiling)
+            });
+            withheld.collect()
+        });
+        let withheld = withheld.collect();
+        let vectors = |service: &Service| {
+            let vectors = self.board.vectors(&service.name);
+            vectors.iter().map(|vector| vector.shares().to_vec()).collect()
+        };
+        Some(Moves { shares: draft.services.iter().map(vectors).collect(), failed, withheld })
+    }
+
+    fn hand_over(
+        &mut self,
+        place: &Place,
+        is_own: bool,
+        claims: &[Claim],
+        now: Instant,
+    ) -> Handover {
+        let before = self.handovers.get(place).copied().unwrap_or(Handover::Elsewhere);
+        let next = before.next(is_own, claims, now);
+        self.handovers.insert(place.clone(), next);
+        next
+    }
+
+    /// Regions that could serve none for a while.
+    fn failed(
+        &mut self,
+        places: &[Vec<Place>],
+        able: &[Vec<bool>],
+        now: Instant,
+    ) -> Vec<Vec<bool>> {
+        let services = places.iter().zip(able).map(|(places, able)| {
+            let regions = places.iter().zip(able).map(|(place, able)| {
+                self.outages.entry(place.clone()).or_default().observe(*able, now)
+            });
+            regions.collect()
+        });
+        services.collect()
+    }
+
     /// Claims of other hosts on a service in a region.
     fn claims(&self, place: &Place, own: &Host, hosts: &[Host], now: Instant) -> Vec<Claim> {
         let is_recent = |(host, heard): &(&String, &Heard)| {
@@ -171,46 +251,11 @@
     let draft = &*accepted.draft;
     let hosts: Vec<Host> = hosts.iter().filter_map(|host| feed::resolve(host, draft)).collect();
     let own = hosts.iter().find(|host| host.name == *own)?;
-    let failed = failed(inner, draft, own, &hosts, now);
-    let shares = &mut inner.shares;
-    shares.loads.retain(|_, heard| now.since(heard.at) < ENDED);
-    let places = draft.services.iter().map(|service| places(service, draft));
-    let places: Vec<Vec<Place>> = places.collect();
-    let headroom: Vec<Vec<Headroom>> = places
-        .iter()
-        .map(|places| places.iter().map(|place| shares.headroom(place, now)).collect())
-        .collect();
-    let view = View {
-        version: accepted.version,
-        draft,
-        own: own.region,
-        failed: &failed,
-        headroom: &headroom,
-    };
-    shares.moving = shares.board.tick(&view, now);
-    if !shares.board.is_in_force() {
-        return None;
-    }
-    let services = draft.services.iter().zip(&places);
-    let withheld = services.map(|(service, places)| {
-        let regions = (0u16..).map(region::Index).zip(places);
-        let withheld = regions.map(|(region, place)| {
-            let first = snapshot::dispatcher(service, &draft.regions, region, &hosts);
-            let is_own = first.is_some_and(|first| hosts[first].name == own.name);
-            let claims = shares.claims(place, own, &hosts, now);
-            let before = shares.handovers.get(place).copied().unwrap_or(Handover::Elsewhere);
-            let next = before.next(is_own, &claims, now);
-            shares.handovers.insert(place.clone(), next);
-            if is_own { next.withheld(&claims) } else { 0 }
-        });
-        withheld.collect()
-    });
-    let withheld = withheld.collect();
-    let vectors = |service: &Service| {
-        let vectors = shares.board.vectors(&service.name);
-        vectors.iter().map(|vector| vector.shares().to_vec()).collect()
-    };
-    Some(Moves { shares: draft.services.iter().map(vectors).collect(), failed, withheld })
+    let able = able(inner, draft, own, &hosts, now);
+    let mut shares = std::mem::take(&mut inner.shares);
+    let moves = shares.advance(inner, accepted, &able, own, &hosts, now);
+    inner.shares = shares;
+    moves
 }
 
 fn places(service: &Service, draft: &Draft) -> Vec<Place> {
@@ -221,40 +266,34 @@
     draft.regions.iter().map(place).collect()
 }
 
-/// Regions that can't serve a service: no live entry host or no live server is known there.
-fn failed(
-    inner: &mut Inner,
-    draft: &Draft,
-    own: &Host,
-    hosts: &[Host],
-    now: Instant,
-) -> Vec<Vec<bool>> {
-    let has_host: Vec<bool> = (0u16..)
-        .map(region::Index)
-        .zip(&draft.regions)
-        .map(|(region, _)| {
-            let is_live = |host: &Host| host.region == region && host.state == host::State::Live;
-            own.region == region || hosts.iter().any(is_live)
-        })
-        .collect();
-    let is_early = now.since(Instant::ZERO) < FIRST_SIGHT || inner.list.servers.is_empty();
+/// Servers that are not leaving, by service and region.
+fn live_servers<'a>(inner: &'a Inner, draft: &Draft) -> Map<(&'a str, region::Index), u32> {
     let zones = oleanderspan::availability::by_name(&draft.zones);
-    let mut has_server: Set<(&str, region::Index)> = Set::default();
+    let mut live = Map::default();
     for server in &inner.list.servers {
         let is_leaving = inner.signs.has(&server.name, server.incarnation);
         if let Some(zone) = zones.get(server.zone.as_str()).filter(|_| !is_leaving) {
-            has_server.insert((&server.service, draft.zones[usize::from(zone.0)].region));
+            let region = draft.zones[usize::from(zone.0)].region;
+            *live.entry((server.service.as_str(), region)).or_default() += 1;
         }
     }
-    let outages = &mut inner.shares.outages;
+    live
+}
+
+/// Whether each region can serve each service: a live entry host and a live server are known.
+fn able(inner: &Inner, draft: &Draft, own: &Host, hosts: &[Host], now: Instant) -> Vec<Vec<bool>> {
+    let is_early = now.since(Instant::ZERO) < FIRST_SIGHT || inner.list.servers.is_empty();
+    let servers = live_servers(inner, draft);
+    let regions = || (0u16..).map(region::Index).zip(&draft.regions).map(|(region, _)| region);
+    let has_host = |region| {
+        let is_live = |host: &Host| host.region == region && host.state == host::State::Live;
+        own.region == region || hosts.iter().any(is_live)
+    };
+    let has_host: Vec<bool> = regions().map(has_host).collect();
     let services = draft.services.iter().map(|service| {
-        let regions = (0u16..).map(region::Index).zip(places(service, draft)).zip(&has_host);
-        let failed = regions.map(|((region, place), has_host)| {
-            let has_server = has_server.contains(&(service.name.as_str(), region));
-            let can_serve = is_early || *has_host && has_server;
-            outages.entry(place).or_default().observe(can_serve, now)
-        });
-        failed.collect()
+        let has_server = |region| servers.contains_key(&(service.name.as_str(), region));
+        let able = regions().zip(&has_host);
+        able.map(|(region, has_host)| is_early || *has_host && has_server(region)).collect()
     });
     services.collect()
 }
--- a/crates/node/src/entry/claims.rs
+++ b/crates/node/src/entry/claims.rs
@@ -149,11 +149,10 @@
     let digest = body::digest(&head, &body);
     let request = Request { key, digest, parcel: Parcel::buffered(head, body) };
     let id = call.id.to_owned();
-    let (service, region, repeat, deadline) =
-        (call.service, call.region, call.repeat, call.deadline);
+    let Call { service, origin, region, repeat, deadline, .. } = call;
     let runner = state.clone();
     let task = state.claims.spawn(async move {
-        let call = Call { id: &id, service, region, repeat, deadline };
+        let call = Call { id: &id, service, origin, region, repeat, deadline };
         claim_and_run(&runner, snapshot, call, request).await
     });
     task.await.unwrap_or(Err(Refusal::Broken))
--- a/crates/node/src/entry/feed.rs
+++ b/crates/node/src/entry/feed.rs
@@ -11,7 +11,7 @@
     entry::{self, Host},
     prelude::*,
     service,
-    shift::{self, Vector},
+    shift::{self, Vector, board::SILENCE},
     snapshot,
 };
 use slog::{info, warn};
@@ -23,8 +23,18 @@
     wire,
 };
 
-/// Longest time that the control daemon keeps a question for the next snapshot open.
-pub const POLL_LIMIT: Duration = Duration::from_secs(5);
+/// Longest time for one question for the next snapshot; the control daemon keeps it open for one
+/// second.
+const SNAPSHOT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Longest time to fetch the blocks of a document.
+const BLOCKS_LIMIT: Duration = Duration::from_secs(10);
+
+/// Longest time to send an observation.
+const OBSERVATION_LIMIT: Duration = Duration::from_secs(5);
+
+/// The wait after a silence of the control daemon before callers are sent here again.
+const RESUME_PAUSE: Duration = Duration::from_secs(1);
 
 /// The wait after a failed question.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -32,9 +42,10 @@
 /// Follows the control daemon at `control` for ever.
 pub async fn run(state: State, control: SocketAddr) {
     let observer = tokio::spawn(report(state.clone(), control));
-    let mut feed = Feed { control, seen: 0, blocks: None };
+    let mut feed =
+        Feed { control, seen: 0, blocks: None, latest: None, answered_at: state.clock.now() };
     loop {
-        if let Err(error) = feed.step(&state).await {
+        if let Err(error) = feed.follow(&state).await {
             warn!(state.log, "no snapshot from control"; "error" => %error);
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -51,7 +62,7 @@
         let request =
             Request::post(format!("http://{control}/observe")).body(Body::from(Bytes::from(body)));
         let Ok(request) = request else { return };
-        let _ = state.control.call(request, POLL_LIMIT).await;
+        let _ = state.control.call(request, OBSERVATION_LIMIT).await;
     }
 }
 
@@ -59,12 +70,45 @@
     control: SocketAddr,
     seen: u64,
     blocks: Option<(String, Arc<caller::Index>)>,
+    latest: Option<snapshot::Input>,
+    answered_at: Instant,
 }
 
 impl Feed {
+    /// Asks for the next snapshot; while the control daemon is silent, callers are sent to
+    /// other hosts, because shares may move there without this one.
+    async fn follow(&mut self, state: &State) -> Result<(), Error> {
+        let answered = self.step(state).await;
+        let now = state.clock.now();
+        let is_silent = answered.is_err() && now.since(self.answered_at) >= SILENCE;
+        if answered.is_ok() {
+            self.answered_at = now;
+        }
+        let is_stale = self.latest.as_ref().is_some_and(|latest| latest.is_stale);
+        if is_silent && !is_stale {
+            self.mark(state, true);
+        }
+        if answered.is_ok() && is_stale {
+            // The control daemon finds out first how long it was paused.
+            tokio::time::sleep(RESUME_PAUSE).await;
+            self.step(state).await?;
+            self.mark(state, false);
+        }
+        answered
+    }
+
+    /// Publishes the latest snapshot again as stale or not.
+    fn mark(&mut self, state: &State, is_stale: bool) {
+        let Some(latest) = &mut self.latest else { return };
+        latest.is_stale = is_stale;
+        let prior = state.snapshot();
+        state.publish(Snapshot::new(latest.clone(), prior.as_deref()));
+        info!(state.log, "control daemon"; "silent" => is_stale);
+    }
+
     async fn step(&mut self, state: &State) -> Result<(), Error> {
         let path = format!("/snapshot/{}", self.seen);
-        let Some(body) = self.get(state, &path).await? else { return Ok(()) };
+        let Some(body) = self.get(state, &path, SNAPSHOT_LIMIT).await? else { return Ok(()) };
         let raw: wire::Snapshot = codec::from_wire(&body)?;
         let draft = document::Draft::try_from(&raw.document)?;
         let blocks = self.blocks(state, &raw).await?;
@@ -75,6 +119,7 @@
         if changed {
             info!(state.log, "document in force"; "version" => input.version.0);
         }
+        self.latest = Some(input.clone());
         state.publish(Snapshot::new(input, prior.as_deref()));
         Ok(())
     }
@@ -90,7 +135,8 @@
         {
             return Ok(Arc::clone(index));
         }
-        let body = self.get(state, &format!("/blocks/{}", raw.blocks)).await?;
+        let path = format!("/blocks/{}", raw.blocks);
+        let body = self.get(state, &path, BLOCKS_LIMIT).await?;
         let fetched: wire::Blocks = codec::from_wire(&body.ok_or(Error::NoBlocks)?)?;
         let mut whole = raw.document.clone();
         whole.blocks = fetched.blocks;
@@ -99,10 +145,15 @@
         Ok(index)
     }
 
-    async fn get(&self, state: &State, path: &str) -> Result<Option<Bytes>, Error> {
+    async fn get(
+        &self,
+        state: &State,
+        path: &str,
+        limit: Duration,
+    ) -> Result<Option<Bytes>, Error> {
         let request = Request::get(format!("http://{}{path}", self.control)).body(Body::empty());
         let request = request.map_err(|_| Error::NoBlocks)?;
-        let (status, body) = state.control.call(request, POLL_LIMIT * 2).await?;
+        let (status, body) = state.control.call(request, limit).await?;
         match status {
             StatusCode::OK => Ok(Some(body)),
             StatusCode::NO_CONTENT => Ok(None),
@@ -150,6 +201,7 @@
         servers,
         shares: shares?,
         own: own.clone(),
+        is_stale: false,
         draft: Arc::new(draft),
     })
 }
--- a/crates/node/src/entry/measure.rs
+++ b/crates/node/src/entry/measure.rs
@@ -44,11 +44,14 @@
             let dispatches = dispatcher.is_some_and(|host| snapshot.is_own(host));
             let pool = snapshot.pool(index, region_index);
             let in_flight = pool.gate().in_flight();
+            let queued = u32::try_from(pool.queued()).unwrap_or(u32::MAX);
+            // Requests that waited before another host took over are still let in.
+            let dispatches = dispatches || queued > 0;
             (dispatches || in_flight > 0).then(|| wire::Load {
                 service: service.name.to_string(),
                 region: region.name.to_string(),
                 limit: pool.gate().limit(),
-                queued: u32::try_from(pool.queued()).unwrap_or(u32::MAX),
+                queued,
                 dispatches,
                 in_flight,
             })
--- a/crates/node/src/entry/parcel.rs
+++ b/crates/node/src/entry/parcel.rs
@@ -50,6 +50,19 @@
         Parcel { head, payload: Payload::Memory(body) }
     }
 
+    /// The bytes that the request is known to have; a body of unknown length counts as empty.
+    pub fn bytes(&self) -> u64 {
+        let headers = self.head.headers.iter();
+        let headers: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let path = self.head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+        let body = match &self.payload {
+            Payload::Memory(bytes) => bytes.len() as u64,
+            Payload::Stream(incoming) => incoming.size_hint().lower(),
+            Payload::Sent => 0,
+        };
+        (headers + path) as u64 + body
+    }
+
     /// The head.
     pub fn head(&self) -> &request::Parts {
         &self.head
--- a/crates/node/src/entry/steer.rs
+++ b/crates/node/src/entry/steer.rs
@@ -4,6 +4,7 @@
 use oleanderspan::{
     entry::Host,
     request::{Refusal, Repeat},
+    snapshot::Link,
 };
 
 use oleanderspan::prelude::*;
@@ -15,7 +16,7 @@
         refusal,
         state::{Shared, Snapshot},
     },
-    http::{Body, client, header as names},
+    http::{Body, Meter, client, header as names},
 };
 
 /// The first wait before the snapshot is read again for another dispatcher.
@@ -25,7 +26,54 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(320);
 
 /// Brings a request to its dispatcher, here or on another host, and its answer back.
+///
+/// A request that the region refuses goes to another one if the cap leaves room for that.
 pub async fn steer(
+    state: &Shared,
+    snapshot: Arc<Snapshot>,
+    mut call: Call<'_>,
+    parcel: &mut Parcel,
+) -> Result<Answer, Refusal> {
+    let refusal = match reach(state, snapshot, call, parcel).await {
+        Ok(answer) => return Ok(answer),
+        Err(refusal) => refusal,
+    };
+    let snapshot = state.snapshot().ok_or(Refusal::NotReady)?;
+    let now = state.clock.now();
+    note_pressure(&snapshot, call, refusal, now);
+    if !may_spill(refusal) || !parcel.can_send() || call.left(now).is_err() {
+        return Err(refusal);
+    }
+    let other = snapshot.spill_region(call.service, call.origin, Some(call.region), now);
+    let Some(other) = other else { return Err(refusal) };
+    call.region = other;
+    let answered = reach(state, Arc::clone(&snapshot), call, parcel).await;
+    if let Err(refusal) = &answered {
+        note_pressure(&snapshot, call, *refusal, state.clock.now());
+    }
+    answered
+}
+
+/// Whether another region may do what this one refused; none of these requests has run.
+fn may_spill(refusal: Refusal) -> bool {
+    matches!(
+        refusal,
+        Refusal::Capped
+            | Refusal::Overloaded
+            | Refusal::NoServer
+            | Refusal::LinkFull
+            | Refusal::Unreachable
+    )
+}
+
+fn note_pressure(snapshot: &Snapshot, call: Call<'_>, refusal: Refusal, now: Instant) {
+    if matches!(refusal, Refusal::Overloaded | Refusal::NoServer) {
+        snapshot.pressure(call.service, call.region).note_refusal(now);
+    }
+}
+
+/// Brings a request to the dispatcher of its region, and again while hosts disagree who that is.
+async fn reach(
     state: &Shared,
     mut snapshot: Arc<Snapshot>,
     call: Call<'_>,
@@ -36,6 +84,9 @@
     let give_up = state.clock.now() + patience;
     let mut pause = FIRST_PAUSE;
     loop {
+        if snapshot.is_failed(call.service, call.region) {
+            return Err(Refusal::Capped);
+        }
         let refusal = match hop(state, &snapshot, call, parcel).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
@@ -90,6 +141,10 @@
     headers.insert(names::REGION, names::value(region));
     headers.insert(names::REPEAT, names::value(repeat));
     headers.insert(names::TIMEOUT_MS, names::value(&left.as_millis().to_string()));
+    let link = snapshot.link(host.region);
+    if let Some(link) = link {
+        admit(link, parcel, state.clock.now())?;
+    }
     let request = parcel.send_to(host.relay_address).ok_or(Refusal::Broken)?;
     match tokio::time::timeout(left, state.peers.send(request)).await {
         Ok(Ok(answer)) => match refusal::parse(answer.headers()) {
@@ -97,7 +152,11 @@
             None => {
                 let (mut head, body) = answer.into_parts();
                 names::strip_hop_by_hop(&mut head.headers);
-                Ok(Response::from_parts(head, Body::stream(body)))
+                let body = match link {
+                    Some(link) => Body::metered(body, Meter::new(link, state.clock)),
+                    None => Body::stream(body),
+                };
+                Ok(Response::from_parts(head, body))
             }
         },
         Ok(Err(client::Error::Connect(_))) => Err(Refusal::Unreachable),
@@ -105,3 +164,11 @@
         Err(_) => Err(Refusal::TimedOut),
     }
 }
+
+/// Spends the budget of a link for a request; answers spend theirs as they come back.
+fn admit(link: &Link, parcel: &Parcel, now: Instant) -> Result<(), Refusal> {
+    if !link.answers.has_room(now) {
+        return Err(Refusal::LinkFull);
+    }
+    link.requests.try_spend(parcel.bytes(), now).map_err(|_| Refusal::LinkFull)
+}
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -3,6 +3,8 @@
 pub mod body;
 pub mod client;
 pub mod header;
+pub mod meter;
 pub mod server;
 
 pub use body::Body;
+pub use meter::Meter;
--- a/crates/node/src/http/body.rs
+++ b/crates/node/src/http/body.rs
@@ -9,6 +9,8 @@
 use http_body_util::Full;
 use hyper::body::{Frame, Incoming, SizeHint};
 
+use crate::http::Meter;
+
 /// A body that is in memory or passed on from another connection.
 ///
 /// `G` is held until the body has ended or was dropped: the lease of a slot, for example.
@@ -22,6 +24,8 @@
         incoming: Incoming,
         /// What is held as long.
         guard: Option<G>,
+        /// What its bytes are counted against.
+        meter: Option<Meter>,
     },
 }
 
@@ -33,12 +37,17 @@
 
     /// A body that is passed on as it arrives.
     pub fn stream(incoming: Incoming) -> Body<G> {
-        Body::Stream { incoming, guard: None }
+        Body::Stream { incoming, guard: None, meter: None }
     }
 
     /// A body that is passed on while `guard` is held.
     pub fn guarded(incoming: Incoming, guard: G) -> Body<G> {
-        Body::Stream { incoming, guard: Some(guard) }
+        Body::Stream { incoming, guard: Some(guard), meter: None }
+    }
+
+    /// A body whose bytes are counted as they are passed on.
+    pub fn metered(incoming: Incoming, meter: Meter) -> Body<G> {
+        Body::Stream { incoming, guard: None, meter: Some(meter) }
     }
 }
 
@@ -58,8 +67,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             Body::Full(full) => Pin::new(full).poll_frame(context).map_err(|never| match never {}),
-            Body::Stream { incoming, guard } => {
+            Body::Stream { incoming, guard, meter } => {
                 let polled = Pin::new(incoming).poll_frame(context);
+                if let (Some(meter), Poll::Ready(Some(Ok(frame)))) = (meter, &polled) {
+                    meter.count(frame.data_ref().map_or(0, Bytes::len));
+                }
                 if matches!(polled, Poll::Ready(None)) {
                     guard.take();
                 }
--- a/crates/oleanderspan/src/region/handover.rs
+++ b/crates/oleanderspan/src/region/handover.rs
@@ -10,12 +10,15 @@
 /// The longest time that a host which takes over waits for the one before to yield.
 pub const LONGEST_HOLD: Duration = Duration::from_secs(3);
 
+/// The least time that a host holds, so that hosts that take over at once hear of each other.
+pub const LEAST_HOLD: Duration = Duration::from_millis(750);
+
 key! {
     /// What another host last said of the same service and region.
     pub struct Claim {
         /// Requests in flight by its own count.
         pub in_flight: u32,
-        /// Whether it admits new ones.
+        /// Whether it may admit new ones.
         pub dispatches: bool,
     }
 
@@ -44,19 +47,31 @@
             Handover::Holding { since } => since,
             Handover::Elsewhere => now,
         };
+        let held = now.since(since);
         let has_yielded = others.iter().all(|claim| !claim.dispatches);
-        if has_yielded || now.since(since) >= LONGEST_HOLD {
+        if held >= LONGEST_HOLD || has_yielded && held >= LEAST_HOLD {
             Handover::Own
         } else {
             Handover::Holding { since }
         }
     }
 
-    /// Places that this host must leave free.
-    pub fn withheld(self, others: &[Claim]) -> u32 {
+    /// Places of `ceiling` that this host must leave free.
+    ///
+    /// Hosts that all say that they dispatch divide what the others leave, until they agree; each
+    /// leaves the others their part, as it can't know how far they have used it since.
+    pub fn withheld(self, others: &[Claim], ceiling: u32) -> u32 {
+        let rivals = others.iter().filter(|claim| claim.dispatches);
+        let ending = others.iter().filter(|claim| !claim.dispatches);
+        let ending = ending.fold(0u32, |sum, claim| sum.saturating_add(claim.in_flight));
+        let hosts = u32::try_from(rivals.clone().count() + 1).unwrap_or(u32::MAX);
+        let part = ceiling.saturating_sub(ending) / hosts;
+        let reserved =
+            rivals.fold(ending, |sum, rival| sum.saturating_add(rival.in_flight.max(part)));
         match self {
+            Handover::Elsewhere => 0,
             Handover::Holding { .. } => u32::MAX,
-            _ => others.iter().fold(0, |sum, claim| sum.saturating_add(claim.in_flight)),
+            Handover::Own => reserved.max(ceiling - part),
         }
     }
 }
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -45,6 +45,8 @@
     pub shares: Vec<Shares>,
     /// The name of this host.
     pub own: entry::Name,
+    /// Whether the control daemon is silent, so that callers should rather use other hosts.
+    pub is_stale: bool,
 }
 
 /// Where the requests of one service may go.
@@ -115,8 +117,9 @@
 impl<W: Waiter> Snapshot<W> {
     /// Builds the snapshot that follows `prior`.
     pub fn new(input: Input, prior: Option<&Snapshot<W>>) -> Snapshot<W> {
+        let advised = advised(&input);
         let draft = input.draft;
-        let answers = draft.sites.iter().map(|site| Answer::new(site, &input.hosts, &draft.locate));
+        let answers = draft.sites.iter().map(|site| Answer::new(site, &advised, &draft.locate));
         let services =
             (0u16..).zip(&draft.services).zip(input.shares).map(|((i, service), shares)| {
                 let index = service::Index(i);
@@ -224,11 +227,11 @@
         &self.target(service, region).pressure
     }
 
-    /// Whether the link to a region has budget left.
+    /// Whether the link to a region has budget left; where the document has no link, it sets
+    /// no budget.
     fn has_way(&self, region: region::Index, now: Instant) -> bool {
-        let is_own = self.own_host().is_some_and(|host| host.region == region);
         let has_room = |link: &Arc<Link>| link.requests.has_room(now) && link.answers.has_room(now);
-        is_own || self.link(region).is_some_and(has_room)
+        self.link(region).is_none_or(has_room)
     }
 
     /// The host that dispatches for `service` in `region`.
@@ -340,6 +343,15 @@
     }
 }
 
+/// The hosts that callers are sent to: without this one while its control daemon is silent, if
+/// there are others.
+fn advised(input: &Input) -> Vec<Host> {
+    let is_other = |host: &&Host| host.name != input.own;
+    let others: Vec<Host> = input.hosts.iter().filter(is_other).cloned().collect();
+    let has_other = others.iter().any(Host::takes_callers);
+    if input.is_stale && has_other { others } else { input.hosts.clone() }
+}
+
 /// Puts the listed servers into the pool; those that it knows keep their counts.
 fn refill<'a, W: Waiter>(
     pool: &Pool<W>,
