--- a/crates/lab/tests/leaving.rs
+++ b/crates/lab/tests/leaving.rs
@@ -86,7 +86,7 @@
         Case::OneHostWhileListLagsAndHealthLies => {
             bench.lie(server).await;
             let sign = wire::Sign { server: listed.name, incarnation: listed.incarnation };
-            let seen = wire::Observation { leaving: vec![sign], stopping: false };
+            let seen = wire::Observation { leaving: vec![sign], ..Default::default() };
             tell(bench, 8, &seen).await;
         }
         Case::DocumentWhileListLagsAndHealthLies => {
