--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -8,6 +8,7 @@
 pub mod membership;
 pub mod operator;
 pub mod publication;
+pub mod shares;
 pub mod state;
 
 use std::io;
@@ -32,6 +33,7 @@
         tokio::spawn(listing::watch(state.clone())),
         tokio::spawn(exchange::run(state.clone())),
         tokio::spawn(publication::run(state.clone())),
+        tokio::spawn(shares::record(state.clone())),
     ];
     let goodbye = async {
         stop.cancelled().await;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -10,7 +10,6 @@
     document::{self, Draft, raw},
     event::{Event, Hybrid, Kind},
     prelude::*,
-    shift::Slew,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -18,7 +17,7 @@
 use crate::{
     clock::{Monotonic, wall_millis},
     codec,
-    control::membership::Roster,
+    control::{membership::Roster, shares::Shares},
     http::client::{Client, Protocol},
     settings::Settings,
     store::{self, Store},
@@ -96,8 +95,8 @@
     pub signs: Signs,
     /// The document's version and the list's hash whose signs have been noted.
     pub signs_source: (u64, String),
-    /// Shares in force, by service name and region of the caller.
-    pub shares: Map<String, Vec<Slew>>,
+    /// Shares in force, and what moves them.
+    pub shares: Shares,
     /// The latest snapshot for the entry daemon.
     pub snapshot: Option<Arc<wire::Snapshot>>,
     /// Recent events of this process.
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -174,8 +174,9 @@
     let limit = described.limits.request_timeout;
     let wanted = names::number(&head.headers, &names::TIMEOUT_MS).map(Duration::from_millis);
     let deadline = Deadline(now + wanted.map_or(limit, |wanted| wanted.min(limit)));
-    let region = snapshot.next_region(service, snapshot.origin(caller));
-    Ok(Call { id, service, region, repeat, deadline })
+    let origin = snapshot.origin(caller);
+    let region = steer::choose(snapshot, service, origin, now)?;
+    Ok(Call { id, service, origin, region, repeat, deadline })
 }
 
 /// Tells the backend server whom the request is from and whom it was addressed to.
--- a/crates/node/src/entry/health.rs
+++ b/crates/node/src/entry/health.rs
@@ -73,7 +73,7 @@
     }
     server.mark_leaving();
     let sign = wire::Sign::from(&server.identity);
-    state.observe(wire::Observation { leaving: vec![sign], stopping: false });
+    state.observe(wire::Observation { leaving: vec![sign], ..wire::Observation::default() });
 }
 
 /// The servers that this host dispatches to and that have given no sign yet.
--- a/crates/node/src/entry/jobs/runner.rs
+++ b/crates/node/src/entry/jobs/runner.rs
@@ -27,6 +27,7 @@
             stored::Stored,
         },
         state::Snapshot,
+        steer,
     },
     store::{self, Write},
 };
@@ -168,12 +169,14 @@
     };
     let Some(snapshot) = state.snapshot() else { return Progress::Released };
     let Some(service) = find(&snapshot, &row.service) else { return Progress::Released };
-    let region = snapshot.next_region(service, snapshot.origin(stored.caller));
-    let limit = snapshot.described(service).limits.request_timeout;
-    let deadline = Deadline(state.clock.now() + limit);
+    let (origin, now) = (snapshot.origin(stored.caller), state.clock.now());
+    let Ok(region) = steer::choose(&snapshot, service, origin, now) else {
+        return Progress::Released;
+    };
+    let deadline = Deadline(now + snapshot.described(service).limits.request_timeout);
     let id = stored.id.clone();
     let Some(parcel) = stored.parcel() else { return Progress::Released };
-    let call = Call { id: &id, service, region, repeat: Repeat::Forbidden, deadline };
+    let call = Call { id: &id, service, origin, region, repeat: Repeat::Forbidden, deadline };
     let (_, progress) = claims::run(state, snapshot, call, parcel).await;
     progress.unwrap_or(Progress::Held)
 }
