Measure the policy under load in virtual time

Cause: nothing had been measured; the design question (who decides about a slot) was answered by argument alone.

Change: 'oleanderspan-lab measure' runs the real Pool, Gate, retry budget, shares and ranks on a small event heap against fakes of the deployments' servers, beside random, round robin, least own in flight, two choices, divided slots and an ideal.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod deployment;
 pub mod fleet;
+pub mod measure;
 pub mod platform;
 pub mod sample;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,8 +4,10 @@
 
 use argh::FromArgs;
 use oleanderspan_lab::{
-    deployment::{Deployment, Ports},
-    fleet, platform, sample,
+    deployment::{BUREAU, CUPRUL, Deployment, Ports},
+    fleet,
+    measure::{self, Suite},
+    platform, sample,
 };
 
 /// Stand-ins and measures for tests and benchmarks.
@@ -21,6 +23,7 @@
     Platform(Platform),
     Fleet(Fleet),
     Sample(Sample),
+    Measure(Measure),
 }
 
 /// Run a stand-in for the platform's table, objects and list of servers.
@@ -64,13 +67,58 @@
 
 impl Sample {
     fn run(&self) -> io::Result<()> {
-        let deployment = Deployment::find(&self.deployment)
-            .ok_or_else(|| io::Error::other("--deployment: wanted cuprul or bureau"))?;
+        let deployment = find(&self.deployment)?;
         let ports = Ports { base: self.base_port };
         sample::write(deployment, ports, Duration::from_millis(self.run_ms), &self.folder)
     }
 }
 
+/// Measure the policy under load, in virtual time.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "measure")]
+struct Measure {
+    /// cuprul or bureau; both if not given
+    #[argh(option)]
+    deployment: Option<String>,
+    /// the seed of all that is drawn
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// write JSON instead of tables
+    #[argh(switch)]
+    json: bool,
+    /// also draw pictures, as SVG files in this folder
+    #[argh(option)]
+    plot: Option<PathBuf>,
+}
+
+/// The length of a steady case.
+const MEASURE_LENGTH: Duration = Duration::from_secs(60);
+
+impl Measure {
+    fn run(&self) -> io::Result<()> {
+        let deployments = match self.deployment.as_deref() {
+            None => vec![&CUPRUL, &BUREAU],
+            Some(name) => vec![find(name)?],
+        };
+        for deployment in deployments {
+            let suite = Suite { deployment, seed: self.seed, length: MEASURE_LENGTH };
+            let report = measure::run(&suite, self.plot.as_deref())
+                .map_err(|error| io::Error::other(error.to_string()))?;
+            if self.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+        }
+        Ok(())
+    }
+}
+
+fn find(name: &str) -> io::Result<&'static Deployment> {
+    let wanted = || io::Error::other("--deployment: wanted cuprul or bureau");
+    Deployment::find(name).ok_or_else(wanted)
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let runtime = tokio::runtime::Runtime::new();
@@ -81,6 +129,7 @@
             }
             Command::Fleet(fleet) => fleet::run(&fleet.file).await,
             Command::Sample(sample) => sample.run(),
+            Command::Measure(measure) => measure.run(),
         }
     };
     match runtime.and_then(|runtime| runtime.block_on(run)) {
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,59 @@
+//! Measures of the policy under load: the real decisions, in virtual time, against small fakes.
+//!
+//! Every figure stands beside the same requests under simpler policies and under an ideal one;
+//! see `docs/MEASURES.md`. The same seed gives the same figures.
+
+pub mod arrival;
+pub mod case;
+pub mod contender;
+pub mod plot;
+pub mod policy;
+pub mod report;
+pub mod server;
+pub mod steering;
+pub mod suite;
+pub mod trace;
+pub mod world;
+
+use std::{error::Error, fs, path::Path};
+
+pub use report::{Measure, Report};
+pub use suite::Suite;
+
+use crate::measure::contender::Contender;
+
+/// Runs every measure, and draws pictures into `folder` if there is one.
+pub fn run(suite: &Suite, folder: Option<&Path>) -> Result<Report, Box<dyn Error>> {
+    let (latency, latency_runs) = suite.latency();
+    let (failover, failover_runs) = suite.failover();
+    let (shift, shift_runs) = suite.shift();
+    if let Some(folder) = folder {
+        let names: Vec<&str> = suite.deployment.regions.iter().map(|r| r.name).collect();
+        let file = |name: &str| folder.join(format!("{}-{name}.svg", suite.deployment.name));
+        fs::create_dir_all(folder)?;
+        plot::latency(&file("latency"), &latency_runs)?;
+        let own = |(way, _): &&(Contender, _)| *way == Contender::Dispatched;
+        for (name, runs) in [("failover", &failover_runs), ("shift", &shift_runs)] {
+            if let Some((_, trace)) = runs.iter().find(own) {
+                plot::regions(&file(name), &names, trace)?;
+            }
+        }
+    }
+    let measures = vec![
+        suite.slots(),
+        latency,
+        suite.head_of_line(),
+        suite.stragglers(),
+        failover,
+        shift,
+        suite.drain(),
+        suite.overload(),
+        suite.cold(),
+    ];
+    Ok(Report {
+        deployment: suite.deployment.name,
+        service: suite.service().name,
+        seed: suite.seed,
+        measures,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/measure/arrival.rs
@@ -0,0 +1,68 @@
+//! Requests as they arrive: a Poisson stream, drawn once and offered to every policy.
+
+use oleanderspan::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::measure::case::{Case, SHORT_RUN};
+
+/// The part of a short request's run that does not vary, as a divisor of its mean.
+const FIXED_DIVISOR: u32 = 4;
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// When it reaches its entry host.
+    pub at: Instant,
+    /// The region of its caller.
+    pub origin: usize,
+    /// Its entry host.
+    pub host: usize,
+    /// How long it runs on a server of full speed.
+    pub run: Duration,
+    /// Whether it is one of the long ones; no policy may look at this.
+    pub is_long: bool,
+}
+
+/// Draws the requests of a case in the order of their arrival.
+pub fn draw(case: &Case, seed: u64) -> Vec<Request> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let regions = 0..case.topology.regions();
+    let mut requests: Vec<Request> =
+        regions.flat_map(|region| draw_region(case, region, &mut rng)).collect();
+    requests.sort_by_key(|request| request.at);
+    requests
+}
+
+fn draw_region(case: &Case, region: usize, rng: &mut ChaCha8Rng) -> Vec<Request> {
+    let hosts: Vec<usize> = case.topology.hosts_of(region).collect();
+    let slots = f64::from(case.topology.slots_of(region));
+    let mut requests = Vec::new();
+    let mut start = Instant::ZERO;
+    for phase in &case.phases {
+        let end = start + phase.length;
+        let gap = case.mean_run().div_f64((slots * phase.load).max(f64::MIN_POSITIVE));
+        let mut at = start + exponential(gap, rng);
+        while at < end {
+            let is_long = case.long.is_some_and(|long| rng.random::<f64>() < long.share);
+            let run = match case.long {
+                Some(long) if is_long => long.run,
+                _ => short_run(rng),
+            };
+            let host = hosts[rng.random_range(0..hosts.len())];
+            requests.push(Request { at, origin: region, host, run, is_long });
+            at = at + exponential(gap, rng);
+        }
+        start = end;
+    }
+    requests
+}
+
+fn short_run(rng: &mut ChaCha8Rng) -> Duration {
+    let fixed = SHORT_RUN / FIXED_DIVISOR;
+    fixed + exponential(SHORT_RUN - fixed, rng)
+}
+
+fn exponential(mean: Duration, rng: &mut ChaCha8Rng) -> Duration {
+    mean.mul_f64(-(1.0 - rng.random::<f64>()).ln())
+}
--- /dev/null
+++ b/crates/lab/src/measure/policy/ideal.rs
@@ -0,0 +1,77 @@
+//! The ideal: one queue with perfect knowledge, no way to go and no connection to set up.
+
+use std::collections::VecDeque;
+
+use oleanderspan::prelude::*;
+
+use crate::measure::policy::{Decision, Grant, Policy, View};
+
+/// One queue that sees the true state of every server and keeps to the ceiling.
+#[derive(Debug)]
+pub struct Ideal {
+    servers: Vec<usize>,
+    in_flight: Vec<u32>,
+    queue: VecDeque<(usize, usize)>,
+}
+
+impl Ideal {
+    /// An ideal queue before `servers`, of `all` servers.
+    pub fn new(servers: &[usize], all: usize) -> Ideal {
+        Ideal { servers: servers.to_vec(), in_flight: vec![0; all], queue: VecDeque::new() }
+    }
+
+    fn take(&mut self, view: View<'_>) -> Option<usize> {
+        let usable = |i: &&usize| !view.servers[**i].is_leaving && !view.servers[**i].is_gone;
+        let live: Vec<usize> = self.servers.iter().filter(usable).copied().collect();
+        let used: u32 = live.iter().map(|i| self.in_flight[*i]).sum();
+        if used >= view.topology.ceiling(live.len() as u32) {
+            return None;
+        }
+        let speed = |i: &usize| view.servers[*i].slowdown(view.now);
+        let fastest = live.iter().map(speed).min()?;
+        let free = |i: &&usize| self.in_flight[**i] < view.topology.slots;
+        let best = live.iter().filter(free).filter(|i| speed(i) == fastest);
+        let server = *best.min_by_key(|i| self.in_flight[**i])?;
+        self.in_flight[server] += 1;
+        Some(server)
+    }
+}
+
+impl Policy for Ideal {
+    fn offer(&mut self, request: usize, decider: usize, view: View<'_>) -> Decision {
+        if let Some(server) = self.queue.is_empty().then(|| self.take(view)).flatten() {
+            return Decision::Start(server);
+        }
+        self.queue.push_back((request, decider));
+        Decision::Wait
+    }
+
+    fn granted(&mut self, view: View<'_>) -> Option<Grant> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let server = self.take(view)?;
+        let (request, decider) = self.queue.pop_front()?;
+        Some(Grant { request, decider, server })
+    }
+
+    fn give_up(&mut self, request: usize) {
+        self.queue.retain(|(waiting, _)| *waiting != request);
+    }
+
+    fn answered(
+        &mut self,
+        _decider: usize,
+        server: usize,
+        _latency: Option<Duration>,
+        _view: View<'_>,
+    ) {
+        self.in_flight[server] -= 1;
+    }
+
+    fn see_leaving(&mut self, _decider: usize, _server: usize, _view: View<'_>) {}
+
+    fn pays_for_ways(&self) -> bool {
+        false
+    }
+}
