Try: refuse waiters early once the queue has stood for a second

Change: once the queue has not been empty for 1 s, who waited over 100 ms is refused.

Conclusion: a small overload is a queue that could be waited for; age of the queue is the wrong sign.

--- a/crates/lab/src/measure/policy.rs
+++ b/crates/lab/src/measure/policy.rs
@@ -54,6 +54,11 @@
     /// A waiting request that may start now.
     fn granted(&mut self, view: View<'_>) -> Option<Grant>;
 
+    /// A waiting request that is refused before its time is up.
+    fn refused(&mut self) -> Option<usize> {
+        None
+    }
+
     /// Takes note that a waiting request gave up.
     fn give_up(&mut self, request: usize);
 
--- a/crates/lab/src/measure/policy/pooled.rs
+++ b/crates/lab/src/measure/policy/pooled.rs
@@ -18,6 +18,7 @@
 #[derive(Debug, Default)]
 struct Slate {
     granted: VecDeque<Grant>,
+    refused: VecDeque<usize>,
     given_up: Set<usize>,
 }
 
@@ -39,6 +40,13 @@
         slate.granted.push_back(Grant { request: self.request, decider: self.decider, server });
         Ok(())
     }
+
+    fn refuse(self) {
+        let mut slate = self.slate.borrow_mut();
+        if !slate.given_up.remove(&self.request) {
+            slate.refused.push_back(self.request);
+        }
+    }
 }
 
 /// Pools by the host that decides.
@@ -123,7 +131,7 @@
         self.dispatcher.unwrap_or(host)
     }
 
-    fn offer(&mut self, request: usize, decider: usize, _view: View<'_>) -> Decision {
+    fn offer(&mut self, request: usize, decider: usize, view: View<'_>) -> Decision {
         let Some(pool) = self.pool(decider) else { return Decision::Refuse };
         if let Some(server) = pool.try_acquire() {
             return Decision::Start(index(&server));
@@ -131,7 +139,8 @@
         if pool.servers().iter().all(|server| server.is_leaving()) {
             return Decision::Refuse;
         }
-        pool.enqueue(Ticket { request, decider, slate: Rc::clone(&self.slate) });
+        let ticket = Ticket { request, decider, slate: Rc::clone(&self.slate) };
+        pool.enqueue(ticket, view.now);
         Decision::Wait
     }
 
@@ -139,6 +148,10 @@
         self.slate.borrow_mut().granted.pop_front()
     }
 
+    fn refused(&mut self) -> Option<usize> {
+        self.slate.borrow_mut().refused.pop_front()
+    }
+
     fn give_up(&mut self, request: usize) {
         self.slate.borrow_mut().given_up.insert(request);
     }
@@ -148,14 +161,14 @@
         decider: usize,
         server: usize,
         latency: Option<Duration>,
-        _view: View<'_>,
+        view: View<'_>,
     ) {
         let Some(pool) = self.pool(decider) else { return };
         let Some(server) = find(pool, server) else { return };
         if let Some(latency) = latency {
             server.observe(latency);
         }
-        pool.release(&server);
+        pool.release(&server, view.now);
     }
 
     fn see_leaving(&mut self, decider: usize, server: usize, view: View<'_>) {
--- a/crates/lab/src/measure/world.rs
+++ b/crates/lab/src/measure/world.rs
@@ -179,6 +179,7 @@
             self.now = at;
             self.handle(event);
             self.start_granted();
+            self.end_refused();
         }
         self.trace
     }
@@ -283,6 +284,15 @@
         }
     }
 
+    fn end_refused(&mut self) {
+        for region in 0..self.policies.len() {
+            while let Some(request) = self.policies[region].refused() {
+                self.progress[request].waits = false;
+                self.ended(request, End::NotRun);
+            }
+        }
+    }
+
     fn start(&mut self, request: usize, decider: usize, server: usize) {
         let attempt = self.attempts.len();
         let began = self.now;
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -92,7 +92,7 @@
 ) -> Result<Answer, Refusal> {
     let limits = &snapshot.described(call.service).limits;
     let wait = call.left(state.clock.now())?.min(limits.queue_timeout);
-    let lease = slot::acquire(snapshot.pool(call.service, call.region), wait).await?;
+    let lease = slot::acquire(snapshot.pool(call.service, call.region), state.clock, wait).await?;
     let server = lease.server().cloned().ok_or(Refusal::NoServer)?;
     let left = call.left(state.clock.now())?;
     let headers = &mut parcel.head_mut().headers;
--- a/crates/node/src/entry/slot.rs
+++ b/crates/node/src/entry/slot.rs
@@ -7,16 +7,19 @@
 };
 use tokio::sync::oneshot;
 
+use crate::clock::Monotonic;
+
 /// A slot that is taken until the lease is dropped.
 #[derive(Debug)]
 pub struct Lease {
     pool: Arc<Pool<Ticket>>,
+    clock: Monotonic,
     server: Option<Arc<Server>>,
 }
 
 impl Lease {
-    fn new(pool: Arc<Pool<Ticket>>, server: Arc<Server>) -> Lease {
-        Lease { pool, server: Some(server) }
+    fn new(pool: Arc<Pool<Ticket>>, clock: Monotonic, server: Arc<Server>) -> Lease {
+        Lease { pool, clock, server: Some(server) }
     }
 
     /// The server whose slot is taken.
@@ -28,7 +31,7 @@
 impl Drop for Lease {
     fn drop(&mut self) {
         if let Some(server) = self.server.take() {
-            self.pool.release(&server);
+            self.pool.release(&server, self.clock.now());
         }
     }
 }
@@ -37,12 +40,13 @@
 #[derive(Debug)]
 pub struct Ticket {
     pool: Arc<Pool<Ticket>>,
+    clock: Monotonic,
     signal: oneshot::Sender<Lease>,
 }
 
 impl Waiter for Ticket {
     fn grant(self, server: Arc<Server>) -> Result<(), Arc<Server>> {
-        let lease = Lease::new(self.pool, server);
+        let lease = Lease::new(self.pool, self.clock, server);
         match self.signal.send(lease) {
             Ok(()) => Ok(()),
             // Taken out so that the drop of the lease does not give the slot back as well.
@@ -52,15 +56,19 @@
 }
 
 /// Takes a slot, waiting for at most `limit`.
-pub async fn acquire(pool: &Arc<Pool<Ticket>>, limit: Duration) -> Result<Lease, Refusal> {
+pub async fn acquire(
+    pool: &Arc<Pool<Ticket>>,
+    clock: Monotonic,
+    limit: Duration,
+) -> Result<Lease, Refusal> {
     if let Some(server) = pool.try_acquire() {
-        return Ok(Lease::new(Arc::clone(pool), server));
+        return Ok(Lease::new(Arc::clone(pool), clock, server));
     }
     if pool.servers().iter().all(|server| server.is_leaving()) {
         return Err(Refusal::NoServer);
     }
     let (signal, granted) = oneshot::channel();
-    pool.enqueue(Ticket { pool: Arc::clone(pool), signal });
+    pool.enqueue(Ticket { pool: Arc::clone(pool), clock, signal }, clock.now());
     match tokio::time::timeout(limit, granted).await {
         Ok(Ok(lease)) => Ok(lease),
         _ => Err(Refusal::Overloaded),
@@ -68,7 +76,11 @@
 }
 
 /// Takes a slot of another server than `not` if one is free now.
-pub fn try_acquire_other(pool: &Arc<Pool<Ticket>>, not: &Server) -> Option<Lease> {
+pub fn try_acquire_other(
+    pool: &Arc<Pool<Ticket>>,
+    clock: Monotonic,
+    not: &Server,
+) -> Option<Lease> {
     let server = pool.try_acquire_other(not)?;
-    Some(Lease::new(Arc::clone(pool), server))
+    Some(Lease::new(Arc::clone(pool), clock, server))
 }
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -1,6 +1,6 @@
 //! The servers of one service in one region, and the queue of requests before them.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
@@ -11,11 +11,25 @@
 pub trait Waiter {
     /// Hands over a server that has a slot taken, or returns it if nobody waits any more.
     fn grant(self, server: Arc<Server>) -> Result<(), Arc<Server>>;
+
+    /// Tells that the wait is over without a slot; dropping the waiter must tell as much.
+    fn refuse(self)
+    where
+        Self: Sized,
+    {
+    }
 }
 
 /// Failed attempts in a row after which a server is chosen only if no other has a free slot.
 const SUSPECT_FAILURES: u32 = 3;
 
+/// How long a queue may stand before it counts as overload and not as a burst.
+const STANDING_QUEUE: Duration = Duration::from_secs(1);
+
+/// How long a request may wait under overload; who waited longer is refused, so that those
+/// who are served are served in time and the queue is gone as soon as the overload is.
+const OVERLOAD_WAIT: Duration = Duration::from_millis(100);
+
 /// Dispatches requests to servers, first come first served.
 ///
 /// A slot is taken before a waiter is taken from the queue, and the queue is looked at again
@@ -25,10 +39,19 @@
 pub struct Pool<W> {
     servers: ArcSwap<Vec<Arc<Server>>>,
     gate: Gate,
-    queue: SegQueue<W>,
+    queue: SegQueue<Place<W>>,
+    /// Since when the queue has not been empty; of no meaning while it is.
+    standing_since: AtomicU64,
     turn: AtomicU32,
 }
 
+/// A place in the queue.
+#[derive(Debug)]
+struct Place<W> {
+    waiter: W,
+    since: Instant,
+}
+
 impl<W: Waiter> Pool<W> {
     /// A pool with no servers.
     pub fn new() -> Pool<W> {
@@ -36,6 +59,7 @@
             servers: ArcSwap::default(),
             gate: Gate::new(0),
             queue: SegQueue::new(),
+            standing_since: AtomicU64::new(0),
             turn: AtomicU32::new(0),
         }
     }
@@ -44,7 +68,8 @@
     pub fn update(&self, servers: Vec<Arc<Server>>, ceiling: u32) {
         self.servers.store(Arc::new(servers));
         self.gate.set_ceiling(ceiling);
-        self.pump();
+        // At the origin of the clock nobody has waited yet, so that nobody is refused.
+        self.pump(Instant::ZERO);
     }
 
     /// The servers in force.
@@ -75,23 +100,26 @@
         self.take_where(|server| !std::ptr::eq(server, not))
     }
 
-    /// Queues a waiter, who is granted the first free slot.
-    pub fn enqueue(&self, waiter: W) {
-        self.queue.push(waiter);
-        self.pump();
+    /// Queues a waiter, who is granted a free slot in turn or refused under overload.
+    pub fn enqueue(&self, waiter: W, now: Instant) {
+        if self.queue.is_empty() {
+            self.standing_since.store(now.as_nanos(), Ordering::Relaxed);
+        }
+        self.queue.push(Place { waiter, since: now });
+        self.pump(now);
     }
 
     /// Gives a slot back and hands it to the next waiter.
-    pub fn release(&self, server: &Server) {
+    pub fn release(&self, server: &Server, now: Instant) {
         server.give_back();
         self.gate.leave();
-        self.pump();
+        self.pump(now);
     }
 
-    fn pump(&self) {
+    fn pump(&self, now: Instant) {
         while !self.queue.is_empty() {
             let Some(server) = self.take() else { return };
-            let granted = match self.queue.pop() {
+            let granted = match self.next_waiter(now) {
                 Some(waiter) => waiter.grant(server),
                 None => Err(server),
             };
@@ -102,6 +130,22 @@
         }
     }
 
+    /// The first waiter in the queue that has not waited too long.
+    fn next_waiter(&self, now: Instant) -> Option<W> {
+        loop {
+            let Place { waiter, since } = self.queue.pop()?;
+            if !self.is_overloaded(now) || now.since(since) <= OVERLOAD_WAIT {
+                return Some(waiter);
+            }
+            waiter.refuse();
+        }
+    }
+
+    fn is_overloaded(&self, now: Instant) -> bool {
+        let since = Instant::from_nanos(self.standing_since.load(Ordering::Relaxed));
+        now.since(since) > STANDING_QUEUE
+    }
+
     fn take(&self) -> Option<Arc<Server>> {
         self.take_where(|_| true)
     }
