Cut a hopeless queue down to fresh waiters

Change: a waiter that has waited 90 % of its limit shows that the queue is hopeless; it and all who waited over 5 % of theirs are refused. The limit comes with the waiter, so that no constant of time is in the code. Failover now counts requests while the load goes on, so that nobody is served only because the run ends.

--- a/crates/lab/src/measure/policy.rs
+++ b/crates/lab/src/measure/policy.rs
@@ -13,6 +13,8 @@
 pub struct View<'a> {
     /// The time.
     pub now: Instant,
+    /// How long a request may wait for a slot.
+    pub queue_timeout: Duration,
     /// Where hosts and servers stand.
     pub topology: &'a Topology,
     /// The true state of all servers.
--- a/crates/lab/src/measure/policy/pooled.rs
+++ b/crates/lab/src/measure/policy/pooled.rs
@@ -140,7 +140,7 @@
             return Decision::Refuse;
         }
         let ticket = Ticket { request, decider, slate: Rc::clone(&self.slate) };
-        pool.enqueue(ticket, view.now);
+        pool.enqueue(ticket, view.queue_timeout, view.now);
         Decision::Wait
     }
 
--- a/crates/lab/src/measure/suite.rs
+++ b/crates/lab/src/measure/suite.rs
@@ -21,6 +21,9 @@
 /// How long one server stays slow before the next one does.
 const SPELL: Duration = Duration::from_secs(2);
 
+/// How long after a failure requests count.
+const COUNTED: Duration = Duration::from_secs(25);
+
 /// The part of slots that an ordinary day fills.
 const USUAL_LOAD: f64 = 0.7;
 
@@ -212,17 +215,21 @@
         let at = Duration::from_secs(5);
         let case = Case {
             changes: vec![(Instant::ZERO + at, Change::RegionFails(0))],
-            ..self.spread(0.6, at + Duration::from_secs(25))
+            ..self.spread(0.6, at + COUNTED + Duration::from_secs(5))
         };
         let runs = self.run(&case, &contender::ALL);
         let window = limits().failover.window;
+        // The load goes on after the last request that counts, so that none is served only
+        // because the run ends.
+        let counted = Window { from: Instant::ZERO, until: Instant::ZERO + at + COUNTED };
         let mut measure = Measure {
             name: "Headroom: a region fails at peak",
             case: "60 % of the slots busy everywhere; the first region, its hosts and servers \
-                   fail at 5 s; noticed 1 s later; 25 s of load follow."
+                   fail at 5 s; noticed 1 s later; requests of the \
+                   first 30 s count, and the load goes on."
                 .to_owned(),
             columns: vec!["over ceiling", "share moved %", "not run", "unknown", "done", "p99 ms"],
-            rows: rows(&runs, |trace| headroom(trace, window)),
+            rows: rows(&runs, |trace| headroom(trace, window, counted)),
             bounds: Vec::new(),
         };
         measure.bounds = headroom_bounds(&measure, 50.0);
@@ -244,7 +251,7 @@
                    at most 20 % in 10 s."
                 .to_owned(),
             columns: vec!["over ceiling", "share moved %", "not run", "unknown", "done", "p99 ms"],
-            rows: rows(&runs, |trace| headroom(trace, window)),
+            rows: rows(&runs, |trace| headroom(trace, window, Window::after(Duration::ZERO))),
             bounds: Vec::new(),
         };
         measure.bounds = headroom_bounds(&measure, 20.0);
@@ -439,8 +446,7 @@
     runs.iter().map(row).collect()
 }
 
-fn headroom(trace: &Trace, window: Duration) -> Vec<f64> {
-    let all = Window::after(Duration::ZERO);
+fn headroom(trace: &Trace, window: Duration, all: Window) -> Vec<f64> {
     vec![
         f64::from(trace.over_ceiling),
         f64::from(trace.greatest_rise_ppm(window)) / 10_000.0,
--- a/crates/lab/src/measure/world.rs
+++ b/crates/lab/src/measure/world.rs
@@ -21,6 +21,18 @@
     },
 };
 
+/// What policies may look at; a macro, so that only the fields named here are borrowed.
+macro_rules! view {
+    ($world:ident) => {
+        View {
+            now: $world.now,
+            queue_timeout: $world.limits.queue_timeout,
+            topology: &$world.case.topology,
+            servers: &$world.servers,
+        }
+    };
+}
+
 /// How often shares move and the regions are sampled.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -261,7 +273,7 @@
             let way = self.way(request);
             return self.at(self.now + way, Event::Decide(request));
         }
-        let view = View { now: self.now, topology: &self.case.topology, servers: &self.servers };
+        let view = view!(self);
         match self.policies[region].offer(request, decider, view) {
             Decision::Start(server) => self.start(request, decider, server),
             Decision::Wait => {
@@ -275,8 +287,7 @@
     fn start_granted(&mut self) {
         for region in 0..self.policies.len() {
             loop {
-                let view =
-                    View { now: self.now, topology: &self.case.topology, servers: &self.servers };
+                let view = view!(self);
                 let Some(grant) = self.policies[region].granted(view) else { break };
                 self.progress[grant.request].waits = false;
                 self.start(grant.request, grant.decider, grant.server);
@@ -408,7 +419,7 @@
         self.attempts[attempt].stage = Stage::Over;
         self.progress[request].running.retain(|other| *other != attempt);
         let region = self.progress[request].region;
-        let view = View { now: self.now, topology: &self.case.topology, servers: &self.servers };
+        let view = view!(self);
         self.policies[region].answered(decider, server, latency, view);
     }
 
@@ -431,7 +442,7 @@
         {
             return;
         }
-        let view = View { now: self.now, topology: &self.case.topology, servers: &self.servers };
+        let view = view!(self);
         // A slot is looked for first, so that the budget is not spent where there is none.
         let Some(other) = self.policies[region].hedge(decider, server, view) else { return };
         if self.hedges.try_spend() {
@@ -486,8 +497,7 @@
             }
             Change::HostLeaves(host) => {
                 self.host_left[host] = Some(self.now);
-                let view =
-                    View { now: self.now, topology: &self.case.topology, servers: &self.servers };
+                let view = view!(self);
                 for policy in &mut self.policies {
                     policy.host_leaves(host, view);
                 }
@@ -547,7 +557,7 @@
 
     fn see_leaving(&mut self, decider: usize, server: usize) {
         let region = self.case.topology.servers[server].region;
-        let view = View { now: self.now, topology: &self.case.topology, servers: &self.servers };
+        let view = view!(self);
         self.policies[region].see_leaving(decider, server, view);
     }
 
--- a/crates/node/src/entry/slot.rs
+++ b/crates/node/src/entry/slot.rs
@@ -68,7 +68,7 @@
         return Err(Refusal::NoServer);
     }
     let (signal, granted) = oneshot::channel();
-    pool.enqueue(Ticket { pool: Arc::clone(pool), clock, signal }, clock.now());
+    pool.enqueue(Ticket { pool: Arc::clone(pool), clock, signal }, limit, clock.now());
     match tokio::time::timeout(limit, granted).await {
         Ok(Ok(lease)) => Ok(lease),
         _ => Err(Refusal::Overloaded),
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -1,6 +1,6 @@
 //! The servers of one service in one region, and the queue of requests before them.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
@@ -23,12 +23,11 @@
 /// Failed attempts in a row after which a server is chosen only if no other has a free slot.
 const SUSPECT_FAILURES: u32 = 3;
 
-/// How long a queue may stand before it counts as overload and not as a burst.
-const STANDING_QUEUE: Duration = Duration::from_secs(1);
+/// The part of its limit, in percent, after which a waiter shows that the queue is hopeless.
+const HOPELESS_PERCENT: u32 = 90;
 
-/// How long a request may wait under overload; who waited longer is refused, so that those
-/// who are served are served in time and the queue is gone as soon as the overload is.
-const OVERLOAD_WAIT: Duration = Duration::from_millis(100);
+/// The part of its limit, in percent, that a waiter may have waited in a hopeless queue.
+const FRESH_PERCENT: u32 = 5;
 
 /// Dispatches requests to servers, first come first served.
 ///
@@ -40,8 +39,6 @@
     servers: ArcSwap<Vec<Arc<Server>>>,
     gate: Gate,
     queue: SegQueue<Place<W>>,
-    /// Since when the queue has not been empty; of no meaning while it is.
-    standing_since: AtomicU64,
     turn: AtomicU32,
 }
 
@@ -50,6 +47,14 @@
 struct Place<W> {
     waiter: W,
     since: Instant,
+    limit: Duration,
+}
+
+impl<W> Place<W> {
+    /// Whether more than `percent` of the limit has passed.
+    fn is_older(&self, percent: u32, now: Instant) -> bool {
+        now.since(self.since) > self.limit * percent / 100
+    }
 }
 
 impl<W: Waiter> Pool<W> {
@@ -59,7 +64,6 @@
             servers: ArcSwap::default(),
             gate: Gate::new(0),
             queue: SegQueue::new(),
-            standing_since: AtomicU64::new(0),
             turn: AtomicU32::new(0),
         }
     }
@@ -101,11 +105,10 @@
     }
 
     /// Queues a waiter, who is granted a free slot in turn or refused under overload.
-    pub fn enqueue(&self, waiter: W, now: Instant) {
-        if self.queue.is_empty() {
-            self.standing_since.store(now.as_nanos(), Ordering::Relaxed);
-        }
-        self.queue.push(Place { waiter, since: now });
+    ///
+    /// `limit` is how long it would wait; it may give up by itself at any time.
+    pub fn enqueue(&self, waiter: W, limit: Duration, now: Instant) {
+        self.queue.push(Place { waiter, since: now, limit });
         self.pump(now);
     }
 
@@ -130,20 +133,19 @@
         }
     }
 
-    /// The first waiter in the queue that has not waited too long.
+    /// The next waiter; a hopeless queue is cut down to those who came lately.
+    ///
+    /// Without the cut, an overload would leave a queue in which everybody waits nearly as
+    /// long as he can, and it would stay for long after; see `docs/MEASURES.md`, "Overload".
     fn next_waiter(&self, now: Instant) -> Option<W> {
-        loop {
-            let Place { waiter, since } = self.queue.pop()?;
-            if !self.is_overloaded(now) || now.since(since) <= OVERLOAD_WAIT {
-                return Some(waiter);
+        let mut place = self.queue.pop()?;
+        if place.is_older(HOPELESS_PERCENT, now) {
+            while place.is_older(FRESH_PERCENT, now) {
+                place.waiter.refuse();
+                place = self.queue.pop()?;
             }
-            waiter.refuse();
         }
-    }
-
-    fn is_overloaded(&self, now: Instant) -> bool {
-        let since = Instant::from_nanos(self.standing_since.load(Ordering::Relaxed));
-        now.since(since) > STANDING_QUEUE
+        Some(place.waiter)
     }
 
     fn take(&self) -> Option<Arc<Server>> {
