--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -7,14 +7,14 @@
 use oleanderspan::{entry, snapshot};
 use slog::Logger;
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     clock::Monotonic,
-    entry::slot,
+    entry::{claims::Claims, counters::Counters, slot, stop::Stop},
     http::client::{Client, Protocol},
     metrics,
     settings::Settings,
+    store::Store,
     wire,
 };
 
@@ -42,14 +42,19 @@
     pub peers: Client,
     /// Connections to the own control daemon.
     pub control: Client,
+    /// Claims of requests that run at most once.
+    pub claims: Claims,
     /// The log.
     pub log: Logger,
     /// The metrics.
     pub metrics: Arc<StatsdClient>,
+    /// What requests count.
+    pub counters: Counters,
+    /// How far a planned stop has come.
+    pub stop: Stop,
     snapshot: ArcSwapOption<Snapshot>,
     observed: mpsc::Sender<wire::Observation>,
     observations: tokio::sync::Mutex<mpsc::Receiver<wire::Observation>>,
-    closed: CancellationToken,
 }
 
 impl std::ops::Deref for State {
@@ -64,34 +69,24 @@
     /// The state of a daemon that has no snapshot yet.
     pub fn start(settings: &Settings, log: Logger) -> io::Result<State> {
         let (observed, observations) = mpsc::channel(QUEUE_OBSERVATIONS);
+        let store = Store::new(&settings.platform);
+        let host = settings.host.name.as_str();
         Ok(State(Arc::new(Shared {
+            claims: Claims::start(&store, &settings.environment, host),
             name: settings.host.name.clone(),
             clock: Monotonic::start(),
             servers: Client::new(Protocol::Http1),
             peers: Client::new(Protocol::Http2),
             control: Client::new(Protocol::Http2),
             metrics: metrics::start(settings.metrics.as_ref())?,
+            counters: Counters::new(),
             log,
             snapshot: ArcSwapOption::empty(),
             observed,
             observations: tokio::sync::Mutex::new(observations),
-            closed: CancellationToken::new(),
+            stop: Stop::default(),
         })))
     }
-
-    /// Closes the caller port once `stop` was asked for.
-    pub async fn drain_after(&self, stop: CancellationToken) {
-        let closed = self.closed.clone();
-        tokio::spawn(async move {
-            stop.cancelled().await;
-            closed.cancel();
-        });
-    }
-
-    /// Cancelled when the caller port shall close.
-    pub fn closed(&self) -> CancellationToken {
-        self.closed.clone()
-    }
 }
 
 impl Shared {
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -1,6 +1,6 @@
 //! The servers of one service in one region, and the queue of requests before them.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
@@ -39,6 +39,8 @@
     servers: ArcSwap<Vec<Arc<Server>>>,
     gate: Gate,
     queue: SegQueue<Place<W>>,
+    /// Whether the queue has been hopeless since it was last empty.
+    overloaded: AtomicBool,
     turn: AtomicU32,
 }
 
@@ -64,6 +66,7 @@
             servers: ArcSwap::default(),
             gate: Gate::new(0),
             queue: SegQueue::new(),
+            overloaded: AtomicBool::new(false),
             turn: AtomicU32::new(0),
         }
     }
@@ -108,6 +111,9 @@
     ///
     /// `limit` is how long it would wait; it may give up by itself at any time.
     pub fn enqueue(&self, waiter: W, limit: Duration, now: Instant) {
+        if self.queue.is_empty() {
+            self.overloaded.store(false, Ordering::Relaxed);
+        }
         self.queue.push(Place { waiter, since: now, limit });
         self.pump(now);
     }
@@ -133,13 +139,17 @@
         }
     }
 
-    /// The next waiter; a hopeless queue is cut down to those who came lately.
+    /// The next waiter. Once the queue was hopeless, and until it has been empty, those who
+    /// did not come lately are refused.
     ///
-    /// Without the cut, an overload would leave a queue in which everybody waits nearly as
-    /// long as he can, and it would stay for long after; see `docs/MEASURES.md`, "Overload".
+    /// Without that, an overload would leave a queue in which everybody waits nearly as long
+    /// as he can, and it would stay for long after; see `docs/MEASURES.md`, "Overload".
     fn next_waiter(&self, now: Instant) -> Option<W> {
         let mut place = self.queue.pop()?;
         if place.is_older(HOPELESS_PERCENT, now) {
+            self.overloaded.store(true, Ordering::Relaxed);
+        }
+        if self.overloaded.load(Ordering::Relaxed) {
             while place.is_older(FRESH_PERCENT, now) {
                 place.waiter.refuse();
                 place = self.queue.pop()?;
