Choose slow servers last

Change: the pool keeps the median latency of all its servers; a server whose moving average is over 2.5 times that is chosen only if no other has a free slot. One answer counts for at most 8 times the median, so that a request that is long by itself does not mark its server.

--- a/crates/lab/src/measure/policy/pooled.rs
+++ b/crates/lab/src/measure/policy/pooled.rs
@@ -166,7 +166,7 @@
         let Some(pool) = self.pool(decider) else { return };
         let Some(server) = find(pool, server) else { return };
         if let Some(latency) = latency {
-            server.observe(latency);
+            pool.observe(&server, latency);
         }
         pool.release(&server, view.now);
     }
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -126,7 +126,8 @@
         server.observe_failure();
         return Err(Refusal::Unframed);
     }
-    server.observe(state.clock.now().since(sent_at));
+    let latency = state.clock.now().since(sent_at);
+    snapshot.pool(call.service, call.region).observe(&server, latency);
     Ok(answer_of(answer, lease))
 }
 
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -1,6 +1,6 @@
 //! The servers of one service in one region, and the queue of requests before them.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
@@ -23,6 +23,16 @@
 /// Failed attempts in a row after which a server is chosen only if no other has a free slot.
 const SUSPECT_FAILURES: u32 = 3;
 
+/// How many times the typical latency makes a server slow, in percent.
+const SLOW_PERCENT: u64 = 250;
+
+/// The most that one answer counts, in times of the typical latency, so that one request that
+/// runs long by itself does not make its server slow.
+const MAX_SAMPLE: u32 = 8;
+
+/// The part by which one answer moves the typical latency, as a divisor.
+const TYPICAL_DIVISOR: u64 = 64;
+
 /// The part of its limit, in percent, after which a waiter shows that the queue is hopeless.
 const HOPELESS_PERCENT: u32 = 90;
 
@@ -42,6 +52,7 @@
     /// Whether the queue has been hopeless since it was last empty.
     overloaded: AtomicBool,
     turn: AtomicU32,
+    typical_nanos: AtomicU64,
 }
 
 /// A place in the queue.
@@ -68,6 +79,7 @@
             queue: SegQueue::new(),
             overloaded: AtomicBool::new(false),
             turn: AtomicU32::new(0),
+            typical_nanos: AtomicU64::new(0),
         }
     }
 
@@ -94,6 +106,24 @@
         self.queue.len()
     }
 
+    /// Takes the latency of an answer into account.
+    pub fn observe(&self, server: &Server, latency: Duration) {
+        let sample = u64::try_from(latency.as_nanos()).unwrap_or(u64::MAX);
+        // Steps of one size up and down end where as many answers are faster as are slower.
+        let step = |typical: u64| match typical {
+            0 => Some(sample),
+            _ if sample > typical => Some(typical + typical / TYPICAL_DIVISOR),
+            _ => Some(typical - typical / TYPICAL_DIVISOR),
+        };
+        let _ = self.typical_nanos.fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
+        server.observe(latency.min(self.typical_latency().saturating_mul(MAX_SAMPLE)));
+    }
+
+    /// The median latency of all servers together, or zero before the first answer.
+    pub fn typical_latency(&self) -> Duration {
+        Duration::from_nanos(self.typical_nanos.load(Ordering::Relaxed))
+    }
+
     /// Takes a slot at once if nobody waits before.
     pub fn try_acquire(&self) -> Option<Arc<Server>> {
         if self.queue.is_empty() { self.take() } else { None }
@@ -179,6 +209,9 @@
     }
 
     /// The server with the most free slots; among equals the turn decides.
+    ///
+    /// Suspect and slow servers come last and are not shut out: the ceiling leaves some slots
+    /// idle, and those are then theirs, but under pressure every slot counts.
     fn best<'a>(
         &self,
         servers: &'a [Arc<Server>],
@@ -191,7 +224,10 @@
         let (behind, ahead) = servers.split_at(start);
         let candidates = ahead.iter().chain(behind).filter(|server| usable(server));
         let free = candidates.filter(|server| server.free() > 0);
-        free.max_by_key(|server| (server.failures() < SUSPECT_FAILURES, server.free()))
+        let typical = self.typical_nanos.load(Ordering::Relaxed);
+        let slow = Duration::from_nanos(typical.saturating_mul(SLOW_PERCENT) / 100);
+        let is_sound = |server: &Server| server.failures() < SUSPECT_FAILURES;
+        free.max_by_key(|server| (is_sound(server), server.latency() <= slow, server.free()))
     }
 }
 
--- a/crates/oleanderspan/tests/pool.rs
+++ b/crates/oleanderspan/tests/pool.rs
@@ -80,3 +80,16 @@
     pool.release(&taken, at(1_700));
     assert_eq!(*told.borrow(), [Told::Granted(1)]);
 }
+
+#[test]
+fn a_slow_server_comes_last_and_a_long_request_makes_none_slow() {
+    let pool: Pool<Ticket> = Pool::new();
+    let (slow, quick) = (server(1, 2), server(2, 2));
+    pool.update(vec![Arc::clone(&slow), Arc::clone(&quick)], 4);
+    let usual = Duration::from_millis(20);
+    (0..20).for_each(|_| [&slow, &quick].iter().for_each(|server| pool.observe(server, usual)));
+    pool.observe(&quick, usual * 50);
+    (0..3).for_each(|_| pool.observe(&slow, usual * 10));
+    let chosen: Vec<u16> = (0..4).map(|_| pool.try_acquire().unwrap().address.port()).collect();
+    assert_eq!(chosen, [2, 2, 1, 1]);
+}
