--- a/crates/lab/src/measure/policy/pooled.rs
+++ b/crates/lab/src/measure/policy/pooled.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::measure::{
-    case::{Place, Topology},
+    case::Topology,
     policy::{Decision, Grant, Policy, View},
 };
 
@@ -117,7 +117,6 @@
             live.map(|i| described(*i, topology, topology.slots)).collect();
         let ceiling = topology.ceiling(servers.len() as u32);
         let pool = Pool::new();
-        pool.set_near(zone(topology.hosts[host]));
         pool.update(servers, ceiling);
         self.pools[host] = Some(pool);
     }
@@ -206,9 +205,7 @@
     let name = name.expect("the name is made of letters, digits and a dash");
     let identity = backend::server::Identity { name, incarnation: 1 };
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, server as u16));
-    Arc::new(Server::new(identity, address, zone(topology.servers[server]), slots))
-}
-
-fn zone(place: Place) -> availability::Index {
-    availability::Index((place.region * 2 + place.zone) as u16)
+    let place = topology.servers[server];
+    let zone = availability::Index((place.region * 2 + place.zone) as u16);
+    Arc::new(Server::new(identity, address, zone, slots))
 }
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
 
-use crate::{availability, backend::Server, prelude::*, region::Gate};
+use crate::{backend::Server, prelude::*, region::Gate};
 
 /// Someone who waits for a slot.
 pub trait Waiter {
@@ -53,8 +53,6 @@
     overloaded: AtomicBool,
     turn: AtomicU32,
     typical_nanos: AtomicU64,
-    /// The zone of this host, or a number that no zone has.
-    near: AtomicU32,
 }
 
 /// A place in the queue.
@@ -82,7 +80,6 @@
             overloaded: AtomicBool::new(false),
             turn: AtomicU32::new(0),
             typical_nanos: AtomicU64::new(0),
-            near: AtomicU32::new(u32::MAX),
         }
     }
 
@@ -94,11 +91,6 @@
         self.pump(Instant::ZERO);
     }
 
-    /// Prefers the servers of `zone`, where answers and slots come back soonest.
-    pub fn set_near(&self, zone: availability::Index) {
-        self.near.store(u32::from(zone.0), Ordering::Relaxed);
-    }
-
     /// The servers in force.
     pub fn servers(&self) -> Arc<Vec<Arc<Server>>> {
         self.servers.load_full()
@@ -235,11 +227,7 @@
         let typical = self.typical_nanos.load(Ordering::Relaxed);
         let slow = Duration::from_nanos(typical.saturating_mul(SLOW_PERCENT) / 100);
         let is_sound = |server: &Server| server.failures() < SUSPECT_FAILURES;
-        let near = self.near.load(Ordering::Relaxed);
-        let is_near = |server: &Server| u32::from(server.zone.0) == near;
-        free.max_by_key(|server| {
-            (is_sound(server), server.latency() <= slow, is_near(server), server.free())
-        })
+        free.max_by_key(|server| (is_sound(server), server.latency() <= slow, server.free()))
     }
 }
 
