--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod callers;
 
 use std::{
+    collections::BTreeMap,
     env, fs,
     net::{SocketAddr, UdpSocket},
     path::PathBuf,
@@ -343,6 +344,18 @@
         u16::try_from(first.0 + 1).unwrap()
     }
 
+    /// How often each request ran, over all servers, by its key or id.
+    pub async fn all_runs(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        let servers = self.deployment.listed(self.ports).len();
+        for server in 0..u16::try_from(servers).unwrap() {
+            for (key, count) in self.ledger(server).await.runs {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        runs
+    }
+
     /// How often a request ran, over all servers, by its key or id.
     pub async fn runs(&self, key: &str) -> u32 {
         let mut runs = 0;
