Let the caller's connection close before the stop is waited for

Cause: the test waited on its only thread, so that its connection stayed open and the stop waited for that.

--- a/crates/lab/tests/at_most_once_pairs.rs
+++ b/crates/lab/tests/at_most_once_pairs.rs
@@ -224,6 +224,8 @@
     let mut bench = start("stop").await;
     let first = send(&bench, 1, "stop", 15_000);
     let _ = tokio::time::timeout(Duration::from_millis(500), first).await;
+    // The connection closes before this thread waits for the process.
+    tokio::time::sleep(Duration::from_millis(300)).await;
     bench.signal(1, Daemon::Entry, "TERM");
     assert_eq!(bench.wait(1, Daemon::Entry), Some(0));
     bench.until(async || send_to_all(&bench, [8], "stop").await == ["done"]).await;
