--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -2,15 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use oleanderspan::{
-    document::raw,
-    prelude::*,
-    shift::{Slew, slew::Permit},
-};
+use oleanderspan::{document::raw, prelude::*};
 
 use crate::{
     control::{
-        State,
+        State, membership,
+        shares::{self, Moves},
         state::{Accepted, Inner},
     },
     wire,
@@ -28,33 +25,34 @@
 }
 
 fn publish(state: &State) {
+    let was_moving = shares::is_moving(state);
+    let had_shares = shares::are_in_force(state);
+    publish_next(state);
+    shares::note_moves(state, was_moving);
+    if shares::are_in_force(state) != had_shares {
+        membership::refresh(state);
+    }
+}
+
+fn publish_next(state: &State) {
     let hosts = state.roster.hosts();
     let now = state.clock.now();
     let mut inner = state.lock();
     let Some(accepted) = inner.accepted.clone() else { return };
-    move_shares(&mut inner, &accepted, now);
+    let own = &state.settings.host.name;
+    let Some(moves) = shares::advance(&mut inner, &accepted, own, &hosts, now) else { return };
     let sequence = inner.snapshot.as_ref().map_or(0, |snapshot| snapshot.sequence);
-    let next = compose(&inner, &accepted, hosts, sequence + 1);
+    let next = compose(&inner, &accepted, hosts, moves, sequence + 1);
     if inner.snapshot.as_ref().is_none_or(|last| differs(last, &next)) {
         inner.snapshot = Some(Arc::new(next));
     }
 }
 
-fn move_shares(inner: &mut Inner, accepted: &Accepted, now: Instant) {
-    for service in &accepted.draft.services {
-        let slews = inner.shares.entry(service.name.to_string()).or_insert_with(|| {
-            service.routes.iter().map(|target| Slew::new(target.clone(), now)).collect()
-        });
-        for (slew, target) in slews.iter_mut().zip(&service.routes) {
-            slew.advance(target, &service.shift, Permit::Go, now);
-        }
-    }
-}
-
 fn compose(
     inner: &Inner,
     accepted: &Accepted,
     hosts: Vec<wire::Host>,
+    moves: Moves,
     sequence: u64,
 ) -> wire::Snapshot {
     let document = raw::Document { blocks: BTreeMap::new(), ..(*accepted.raw).clone() };
@@ -66,16 +64,14 @@
         address: server.address,
         leaving: inner.signs.has(&server.name, server.incarnation),
     });
-    let shares = accepted.draft.services.iter().map(|service| {
-        let slews = inner.shares.get(service.name.as_str());
-        slews.into_iter().flatten().map(|slew| slew.shares().shares().to_vec()).collect()
-    });
     wire::Snapshot {
         sequence,
         version: accepted.version.0,
         blocks: accepted.blocks.clone(),
         servers: servers.collect(),
-        shares: shares.collect(),
+        shares: moves.shares,
+        failed: moves.failed,
+        withheld: moves.withheld,
         document,
         hosts,
     }
@@ -86,4 +82,6 @@
         || last.hosts != next.hosts
         || last.servers != next.servers
         || last.shares != next.shares
+        || last.failed != next.failed
+        || last.withheld != next.withheld
 }
