--- a/crates/lab/tests/at_most_once.rs
+++ b/crates/lab/tests/at_most_once.rs
@@ -216,7 +216,7 @@
     }
 }
 
-/// Accepts requests, counts them and breaks the connection without an answer.
+/// Accepts connections, counts the requests to book and breaks the connection without an answer.
 async fn breaking_server() -> (SocketAddr, Arc<AtomicU32>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
