--- a/crates/node/src/control/shares.rs
+++ b/crates/node/src/control/shares.rs
@@ -1,47 +1,39 @@
 //! Shares in force on this host: what peers and the platform's table say, and what they need to
 //! know to move. The rules are those of [`oleanderspan::shift`] and [`oleanderspan::region`].
 
+mod record;
+mod sight;
+
+pub use record::record;
+
+use crate::{
+    control::{
+        State,
+        state::{Accepted, Inner},
+    },
+    entry::feed,
+    wire,
+};
 use oleanderspan::{
-    document::{Draft, Version},
-    entry::{self, Host, host, rank},
+    document::Draft,
+    entry::{self, Host},
     event::Kind,
     prelude::*,
     region::{self, Handover, Headroom, Load, Outage, handover::Claim},
     service::Service,
     shift::{
         Board, Statement,
-        board::{GRACE, Recorded, View},
+        board::{GRACE, View},
     },
     snapshot,
 };
-use slog::debug;
-
-use crate::{
-    codec,
-    control::{
-        State,
-        state::{Accepted, Inner},
-    },
-    entry::feed,
-    store::{self, Expect, Transaction, Write},
-    wire,
-};
-
-/// The mean time between two looks at whether the recorded shares are still those in force.
-const RECORD_INTERVAL: Duration = Duration::from_secs(5);
-
-/// The mean time between two looks at the recorded shares while nothing is in force.
-const LEARN_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The age above which a load no longer counts as a measurement.
-const FRESH: Duration = Duration::from_secs(5);
+const FRESH: Duration = Duration::from_secs(4);
 
 /// The age above which the requests in flight that a host told of count as ended.
 const ENDED: Duration = Duration::from_millis(4_500);
 
-/// How long a host waits after its start before it believes that a region failed.
-const FIRST_SIGHT: Duration = Duration::from_secs(5);
-
 /// Shares in force, and what moves them.
 #[derive(Debug)]
 pub struct Shares {
@@ -131,7 +123,7 @@
         if !self.board.is_in_force() {
             return None;
         }
-        let servers = live_servers(inner, draft);
+        let servers = sight::live_servers(inner, draft);
         let services = draft.services.iter().zip(&places);
         let withheld = services.map(|(service, places)| {
             let live = |region| servers.get(&(service.name.as_str(), region)).copied();
@@ -251,7 +243,7 @@
     let draft = &*accepted.draft;
     let hosts: Vec<Host> = hosts.iter().filter_map(|host| feed::resolve(host, draft)).collect();
     let own = hosts.iter().find(|host| host.name == *own)?;
-    let able = able(inner, draft, own, &hosts, now);
+    let able = sight::able(inner, draft, own, &hosts, now);
     let mut shares = std::mem::take(&mut inner.shares);
     let moves = shares.advance(inner, accepted, &able, own, &hosts, now);
     inner.shares = shares;
@@ -266,113 +258,6 @@
     draft.regions.iter().map(place).collect()
 }
 
-/// Servers that are not leaving, by service and region.
-fn live_servers<'a>(inner: &'a Inner, draft: &Draft) -> Map<(&'a str, region::Index), u32> {
-    let zones = oleanderspan::availability::by_name(&draft.zones);
-    let mut live = Map::default();
-    for server in &inner.list.servers {
-        let is_leaving = inner.signs.has(&server.name, server.incarnation);
-        if let Some(zone) = zones.get(server.zone.as_str()).filter(|_| !is_leaving) {
-            let region = draft.zones[usize::from(zone.0)].region;
-            *live.entry((server.service.as_str(), region)).or_default() += 1;
-        }
-    }
-    live
-}
-
-/// Whether each region can serve each service: a live entry host and a live server are known.
-fn able(inner: &Inner, draft: &Draft, own: &Host, hosts: &[Host], now: Instant) -> Vec<Vec<bool>> {
-    let is_early = now.since(Instant::ZERO) < FIRST_SIGHT || inner.list.servers.is_empty();
-    let servers = live_servers(inner, draft);
-    let regions = || (0u16..).map(region::Index).zip(&draft.regions).map(|(region, _)| region);
-    let has_host = |region| {
-        let is_live = |host: &Host| host.region == region && host.state == host::State::Live;
-        own.region == region || hosts.iter().any(is_live)
-    };
-    let has_host: Vec<bool> = regions().map(has_host).collect();
-    let services = draft.services.iter().map(|service| {
-        let has_server = |region| servers.contains_key(&(service.name.as_str(), region));
-        let able = regions().zip(&has_host);
-        able.map(|(region, has_host)| is_early || *has_host && has_server(region)).collect()
-    });
-    services.collect()
-}
-
-/// Reads the recorded shares while this host learns, and records those in force if it is the
-/// first by rank, for ever.
-pub async fn record(state: State) {
-    let mut known: Option<(Version, String)> = None;
-    loop {
-        let is_learning = !state.lock().shares.board.is_in_force();
-        let interval = if is_learning { LEARN_INTERVAL } else { RECORD_INTERVAL };
-        let jitter = rand::random_range(0.75..1.25);
-        tokio::time::sleep(interval.mul_f64(jitter)).await;
-        let done = match is_learning {
-            true => learn(&state).await,
-            false if is_first(&state) => keep(&state, &mut known).await,
-            false => Ok(()),
-        };
-        if let Err(error) = done {
-            known = None;
-            debug!(state.log, "shares not recorded or read"; "error" => %error);
-        }
-    }
-}
-
-async fn learn(state: &State) -> Result<(), store::Error> {
-    if *state.lock().shares.board.recorded() != Recorded::Unknown {
-        return Ok(());
-    }
-    let recorded = match read(state).await? {
-        None => Recorded::Nothing,
-        Some((_, text)) => {
-            let raw: wire::Shares = codec::from_json(text.as_bytes())?;
-            let statement = Statement::try_from(&raw);
-            Recorded::Shares(statement.map_err(|error| store::Error::Protocol(error.to_string()))?)
-        }
-    };
-    state.lock().shares.board.note_recorded(recorded);
-    state.changed.notify_one();
-    Ok(())
-}
-
-/// Writes the shares in force unless the row has them; an unanswered write is settled by
-/// reading the row the next time.
-async fn keep(state: &State, known: &mut Option<(Version, String)>) -> Result<(), store::Error> {
-    let Some(shares) = state.lock().shares.message() else { return Ok(()) };
-    let value = String::from_utf8_lossy(&codec::to_json(&shares)?).into_owned();
-    if known.is_none() {
-        *known = read(state).await?;
-    }
-    if known.as_ref().is_some_and(|(_, text)| *text == value) {
-        return Ok(());
-    }
-    let version = known.take().map(|(version, _)| version);
-    let expect = version.map_or(Expect::Absent, |version| Expect::Version(version.0));
-    let write = Write { key: row_key(state), expect, value: value.clone() };
-    state.store.transact(&Transaction { writes: vec![write] }).await?;
-    *known = Some((version.unwrap_or(Version::NONE).next(), value));
-    Ok(())
-}
-
-async fn read(state: &State) -> Result<Option<(Version, String)>, store::Error> {
-    let rows = state.store.read(vec![row_key(state)]).await?;
-    Ok(rows.into_iter().next().map(|row| (Version(row.version), row.value)))
-}
-
-fn row_key(state: &State) -> String {
-    format!("shares/{}", state.settings.environment)
-}
-
-/// Whether this host is the first by rank among those that are live.
-fn is_first(state: &State) -> bool {
-    let own = state.settings.host.name.as_str();
-    let mut hosts = state.roster.hosts();
-    hosts.retain(|host| host.state == wire::HostState::Live);
-    let first = rank::first(&hosts, &row_key(state), |host| &host.name);
-    first.is_some_and(|first| first.name == own)
-}
-
 /// Records in the time line that shares began or ceased to move.
 pub fn note_moves(state: &State, was_moving: bool) {
     let is_moving = state.lock().shares.moving;
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -16,6 +16,7 @@
     entry::{
         State, claims,
         dispatch::{Answer, Call},
+        jobs,
         parcel::Parcel,
         refusal,
         slot::Lease,
@@ -63,6 +64,9 @@
         let answered = match (head.uri.path(), &head.method) {
             (LOCATE_PATH, &Method::GET) => self.locate(&head, peer),
             (READY_PATH, &Method::GET) => self.ready(),
+            (path, &Method::GET) if path.starts_with(jobs::STATUS_PATH) => {
+                jobs::status::answer(&self.0, &path[jobs::STATUS_PATH.len()..]).await
+            }
             _ => self.request(&id, head, body, peer).await,
         };
         let mut answer = answered.unwrap_or_else(|refusal| {
@@ -139,7 +143,7 @@
         let began = state.clock.now();
         let is_keyed = head.headers.contains_key(names::IDEMPOTENCY_KEY);
         let answer = if call.repeat == Repeat::Forbidden && is_keyed {
-            claims::request(state, snapshot, call, head, body).await?
+            claims::request(state, snapshot, call, head, body, peer.ip()).await?
         } else {
             let mut parcel = Parcel::receive(head, body, call.left(began)?).await?;
             steer::steer(state, snapshot, call, &mut parcel).await?
@@ -171,10 +175,7 @@
     let wanted = names::number(&head.headers, &names::TIMEOUT_MS).map(Duration::from_millis);
     let deadline = Deadline(now + wanted.map_or(limit, |wanted| wanted.min(limit)));
     let origin = snapshot.origin(caller);
-    let region = snapshot
-        .next_region(service, origin)
-        .or_else(|| snapshot.spill_region(service, origin, None, now))
-        .ok_or(Refusal::Capped)?;
+    let region = snapshot.next_region(service, origin, now).ok_or(Refusal::Capped)?;
     Ok(Call { id, service, origin, region, repeat, deadline })
 }
 
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -187,11 +187,13 @@
         &self,
         service: service::Index,
         origin: region::Index,
+        now: Instant,
     ) -> Option<region::Index> {
         let row = &self.services[usize::from(service.0)];
-        let origin = usize::from(origin.0);
-        row.spills[origin].earn();
-        row.diffusers[origin].next(&row.vectors[origin])
+        let position = usize::from(origin.0);
+        row.spills[position].earn();
+        let next = row.diffusers[position].next(&row.vectors[position]);
+        next.or_else(|| self.spill_region(service, origin, None, now))
     }
 
     /// Chooses another region for a request that `refused` did not take, within the part of the
