--- a/crates/lab/tests/headroom_links.rs
+++ b/crates/lab/tests/headroom_links.rs
@@ -109,7 +109,7 @@
     let snapshot = snapshot("ro-sud-a1", [true, false, false]);
     let mut spilled = 0;
     for _ in 0..10_000 {
-        let next = snapshot.next_region(SERVICE, SUD, second(0));
+        let next = snapshot.next_region(SERVICE, SUD);
         assert_eq!(next, Some(SUD));
         if let Some(other) = snapshot.spill_region(SERVICE, SUD, next, second(0)) {
             assert_eq!(other, VEST, "ro-est has failed");
@@ -121,7 +121,7 @@
     snapshot.pressure(SERVICE, VEST).note_refusal(second(0));
     let ask = |now| snapshot.spill_region(SERVICE, SUD, Some(SUD), now);
     for _ in 0..10_000 {
-        let _ = snapshot.next_region(SERVICE, SUD, second(0));
+        let _ = snapshot.next_region(SERVICE, SUD);
     }
     assert_eq!(ask(second(999)), None, "ro-vest refused within the last second");
     assert_eq!(ask(second(1_001)), Some(VEST));
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -175,7 +175,7 @@
     let wanted = names::number(&head.headers, &names::TIMEOUT_MS).map(Duration::from_millis);
     let deadline = Deadline(now + wanted.map_or(limit, |wanted| wanted.min(limit)));
     let origin = snapshot.origin(caller);
-    let region = snapshot.next_region(service, origin, now).ok_or(Refusal::Capped)?;
+    let region = steer::choose(snapshot, service, origin, now)?;
     Ok(Call { id, service, origin, region, repeat, deadline })
 }
 
--- a/crates/node/src/entry/jobs/runner.rs
+++ b/crates/node/src/entry/jobs/runner.rs
@@ -27,6 +27,7 @@
             stored::Stored,
         },
         state::Snapshot,
+        steer,
     },
     store::{self, Write},
 };
@@ -168,10 +169,8 @@
     };
     let Some(snapshot) = state.snapshot() else { return Progress::Released };
     let Some(service) = find(&snapshot, &row.service) else { return Progress::Released };
-    let origin = snapshot.origin(stored.caller);
-    let now = state.clock.now();
-    // The caps let it go nowhere now; the job stays and is tried again.
-    let Some(region) = snapshot.next_region(service, origin, now) else {
+    let (origin, now) = (snapshot.origin(stored.caller), state.clock.now());
+    let Ok(region) = steer::choose(&snapshot, service, origin, now) else {
         return Progress::Released;
     };
     let deadline = Deadline(now + snapshot.described(service).limits.request_timeout);
--- a/crates/node/src/entry/steer.rs
+++ b/crates/node/src/entry/steer.rs
@@ -3,12 +3,13 @@
 use http::Response;
 use oleanderspan::{
     entry::Host,
+    prelude::*,
+    region,
     request::{Refusal, Repeat},
+    service,
     snapshot::Link,
 };
 
-use oleanderspan::prelude::*;
-
 use crate::{
     entry::{
         dispatch::{self, Answer, Call},
@@ -54,6 +55,19 @@
     answered
 }
 
+/// Chooses the region for the next request of callers who belong to `origin`.
+pub fn choose(
+    snapshot: &Snapshot,
+    service: service::Index,
+    origin: region::Index,
+    now: Instant,
+) -> Result<region::Index, Refusal> {
+    snapshot
+        .next_region(service, origin)
+        .or_else(|| snapshot.spill_region(service, origin, None, now))
+        .ok_or(Refusal::Capped)
+}
+
 /// Whether another region may do what this one refused; none of these requests has run.
 fn may_spill(refusal: Refusal) -> bool {
     matches!(
