Prove that shifts wait for headroom and measurements

Cause: the rule stood in the plan, but no test held it.

Change: two tests in virtual time. A shift stands still for 120 s while its target is short of headroom or unmeasured, goes on by itself and makes up for nothing; what leaves a failed region avoids a region that is short.

Conclusion: the two cells of docs/PROOFS.md are proved in virtual time; real servers that start cold are not measured.

--- a/crates/lab/tests/shift_hosts.rs
+++ b/crates/lab/tests/shift_hosts.rs
@@ -65,6 +65,7 @@
     drafts: Vec<Arc<Draft>>,
     hosts: Vec<Host>,
     failed: [Option<(Instant, Instant)>; REGIONS],
+    headroom: [Headroom; REGIONS],
     history: Vec<(Instant, [[f64; REGIONS]; REGIONS])>,
 }
 
@@ -107,6 +108,7 @@
             drafts: vec![first],
             hosts,
             failed: [None; REGIONS],
+            headroom: [Headroom::Free; REGIONS],
             history: Vec::new(),
             rng,
         }
@@ -225,7 +227,7 @@
             draft: &self.drafts[version],
             own: region::Index(host.region as u16),
             failed: &[failed.collect()],
-            headroom: &[vec![Headroom::Free; REGIONS]],
+            headroom: &[self.headroom.to_vec()],
         };
         host.board.tick(&view, now);
         let service = &view.draft.services[0].name;
@@ -380,3 +382,34 @@
         assert!(world.is_settled(), "seed {seed}: the region was never given back");
     }
 }
+
+#[test]
+fn a_shift_waits_for_headroom_and_measurements_and_goes_on_by_itself() {
+    for headroom in [Headroom::Short, Headroom::Unknown] {
+        let mut world = started(400, NO_FAULTS, AT_HOME);
+        world.accept(routes(400, [0, 0, 100]));
+        world.run(Duration::from_secs(20));
+        world.headroom[2] = headroom;
+        world.run(TICK);
+        let before = world.history.last().unwrap().1;
+        world.run(Duration::from_secs(120));
+        assert_eq!(world.history.last().unwrap().1, before, "{headroom:?}");
+        world.headroom[2] = Headroom::Free;
+        let resumed = world.now;
+        world.run(Duration::from_secs(600));
+        assert!(world.is_settled(), "{headroom:?}: the shift never went on");
+        let cap = &world.drafts[0].services[0].shift;
+        let rise = world.greatest_rise(cap.window, resumed);
+        assert!(rise <= f64::from(cap.rise_ppm), "{headroom:?}: the wait was made up for");
+    }
+}
+
+#[test]
+fn a_failover_goes_on_without_measurements_but_not_into_a_region_short_of_headroom() {
+    let mut world = started(500, NO_FAULTS, [10, 60, 30]);
+    world.failed[1] = Some((world.now, world.now + Duration::from_secs(200)));
+    world.headroom = [Headroom::Unknown, Headroom::Unknown, Headroom::Short];
+    world.run(Duration::from_secs(100));
+    let [est, sud, vest] = world.history.last().unwrap().1[1];
+    assert_eq!((est, sud, vest), (700_000.0, 0.0, 300_000.0));
+}
