Prove the planned stops, with callers that hold cached answers

Cause: the order of a planned stop was not shown to cut nothing. Figures, seen to fail: without SPREAD and max_age the callers with cached answers find the port closed; without the filter of its own answers a host whose control daemon is frozen still names itself.

--- a/crates/lab/tests/common/callers.rs
+++ b/crates/lab/tests/common/callers.rs
@@ -1,4 +1,4 @@
-//! Callers that send one read after the other until they are told to stop.
+//! Callers that send one request after the other until they are told to stop.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -29,11 +29,21 @@
 }
 
 impl Callers {
-    /// Starts `each` callers at each address.
+    /// Starts `each` callers that read at each address.
     pub fn start(addresses: &[SocketAddr], authority: &str, each: usize) -> Callers {
+        Callers::start_with(addresses, authority, each, Bytes::new())
+    }
+
+    /// Starts `each` callers that book at each address: a body that can be sent once.
+    pub fn start_bookings(addresses: &[SocketAddr], authority: &str, each: usize) -> Callers {
+        Callers::start_with(addresses, authority, each, Bytes::from_static(b"{\"slot\":4}"))
+    }
+
+    fn start_with(addresses: &[SocketAddr], authority: &str, each: usize, body: Bytes) -> Callers {
         let stop = CancellationToken::new();
         let places = addresses.iter().flat_map(|address| std::iter::repeat_n(*address, each));
-        let start = |address| tokio::spawn(call(address, authority.to_owned(), stop.clone()));
+        let start =
+            |address| tokio::spawn(call(address, authority.to_owned(), body.clone(), stop.clone()));
         let tasks = places.map(start).collect();
         Callers { stop, tasks }
     }
@@ -51,11 +61,20 @@
     }
 }
 
-async fn call(address: SocketAddr, authority: String, stop: CancellationToken) -> Tally {
+async fn call(
+    address: SocketAddr,
+    authority: String,
+    body: Bytes,
+    stop: CancellationToken,
+) -> Tally {
     let client = Client::new(Protocol::Http1);
     let mut tally = Tally::default();
     while !stop.is_cancelled() {
-        match read(&client, address, &authority, None).await {
+        let answered = match body.is_empty() {
+            true => read(&client, address, &authority, None).await,
+            false => book(&client, address, &authority, &body).await,
+        };
+        match answered {
             Ok(_) => tally.answered += 1,
             Err(failure) => tally.failures.push(failure),
         }
@@ -75,11 +94,25 @@
     if let Some(run) = run {
         request = request.header("lab-run-ms", run.as_millis().to_string());
     }
-    let answer = client.send(request.body(Body::empty()).unwrap()).await;
+    send(client, request.body(Body::empty()).unwrap(), b"GET /lots/7\n").await
+}
+
+async fn book(
+    client: &Client,
+    address: SocketAddr,
+    authority: &str,
+    body: &Bytes,
+) -> Result<Bytes, String> {
+    let request = Request::post(format!("http://{address}/bookings")).header("host", authority);
+    send(client, request.body(Body::from(body.clone())).unwrap(), body).await
+}
+
+async fn send(client: &Client, request: Request<Body>, wanted: &[u8]) -> Result<Bytes, String> {
+    let answer = client.send(request).await;
     let (head, body) = answer.map_err(|error| error.to_string())?.into_parts();
     let body = body.collect().await.map_err(|error| error.to_string())?.to_bytes();
-    match (head.status, &body[..]) {
-        (StatusCode::OK, b"GET /lots/7\n") => Ok(body),
-        (status, _) => Err(format!("{status}: {}", String::from_utf8_lossy(&body))),
+    if head.status == StatusCode::OK && *body == *wanted {
+        return Ok(body);
     }
+    Err(format!("{}: {}", head.status, String::from_utf8_lossy(&body)))
 }
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -148,6 +148,11 @@
         assert!(status.success());
     }
 
+    /// Whether a daemon was started and not killed or waited for.
+    pub fn is_running(&mut self, host: u16, daemon: Daemon) -> bool {
+        self.slot(host, daemon).is_some()
+    }
+
     /// Waits for a daemon that was told to stop, and returns its exit code.
     pub fn wait(&mut self, host: u16, daemon: Daemon) -> Option<i32> {
         let mut child = self.slot(host, daemon).take().unwrap();
@@ -311,10 +316,15 @@
         }
     }
 
-    /// The hosts that a locate answer of a host names, for callers near that host.
-    pub async fn located(&self, host: u16) -> Vec<SocketAddr> {
-        let path = "/.well-known/oleanderspan/locate";
-        let answer = self.get(self.ports.caller(host), "-", path).await.unwrap();
+    /// The hosts that a locate answer of a host names, for callers of the zone of `near`.
+    pub async fn located(&self, host: u16, near: u16) -> Vec<SocketAddr> {
+        let hosts = self.deployment.hosts();
+        let mut zones: Vec<&str> = hosts.iter().map(|host| host.zone.as_str()).collect();
+        let zone = zones[usize::from(near) - 1];
+        zones.dedup();
+        let block = zones.iter().position(|other| *other == zone).unwrap() + 1;
+        let path = format!("/.well-known/oleanderspan/locate?address=127.{block}.0.1");
+        let answer = self.get(self.ports.caller(host), "-", &path).await.unwrap();
         let answer: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
         let hosts = answer["hosts"].as_array().unwrap().iter();
         hosts.map(|host| host.as_str().unwrap().parse().unwrap()).collect()
