--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: the path of a request.
 
+pub mod claims;
 pub mod counters;
 pub mod dispatch;
 pub mod feed;
@@ -40,6 +41,7 @@
     let health = tokio::spawn(health::run(state.clone()));
     tokio::spawn(stop::run(state.clone(), settings.control.peer_address, stop));
     server::serve(callers, front::Front(state.clone()), state.stop.closed()).await;
+    state.claims.drain().await;
     relays_stop.cancel();
     let _ = relay.await;
     feed.abort();
