--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -4,6 +4,7 @@
 use hyper::body::{Body as _, Incoming};
 use oleanderspan::{
     backend::Server,
+    entry::membership::jitter,
     prelude::*,
     region,
     request::{Outcome, Refusal, Repeat, retry::Deadline},
@@ -12,6 +13,7 @@
 use slog::debug;
 
 use crate::{
+    clock::Dice,
     entry::{
         health,
         parcel::Parcel,
@@ -24,6 +26,9 @@
 /// The most attempts of one request in one region.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// The mean time that a slot counts as taken after its server shed a request.
+const SHED_PAUSE: Duration = Duration::from_millis(250);
+
 /// What a hop has to know of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Call<'a> {
@@ -64,17 +69,24 @@
     snapshot.retries(call.service).earn();
     let mut attempts = 1;
     let mut outcome = Outcome::NotRun;
+    let patience = snapshot.described(call.service).limits.queue_timeout;
+    let give_up = state.clock.now() + patience;
     loop {
         let refusal = match attempt(state, snapshot, call, parcel).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
         outcome = outcome.and(refusal.outcome());
-        let again = matches!(refusal, Refusal::Shed | Refusal::Unreachable | Refusal::Broken)
-            && call.may_repeat_after(refusal)
-            && parcel.can_send()
-            && attempts < MAX_ATTEMPTS
-            && snapshot.retries(call.service).try_spend();
+        let is_possible = call.may_repeat_after(refusal) && parcel.can_send();
+        let again = match refusal {
+            _ if !is_possible => false,
+            // A shed request goes back to the queue; the slot that is held bounds how often.
+            Refusal::Shed => state.clock.now() < give_up,
+            Refusal::Unreachable | Refusal::Broken => {
+                attempts < MAX_ATTEMPTS && snapshot.retries(call.service).try_spend()
+            }
+            _ => false,
+        };
         if !again {
             // An earlier attempt that may have run outweighs a later one that did not.
             return Err(if outcome == refusal.outcome() { refusal } else { Refusal::Broken });
@@ -120,6 +132,7 @@
     };
     note_leaving(state, &server, &answer);
     if names::text(answer.headers(), &names::OUTCOME) == Some(Outcome::NotRun.as_str()) {
+        hold(lease);
         return Err(Refusal::Shed);
     }
     if is_unframed(&answer) {
@@ -130,6 +143,15 @@
     Ok(answer_of(answer, lease))
 }
 
+/// Keeps a slot taken for a while whose server said that it had none free: somebody else has
+/// requests there, the last dispatching host for example.
+fn hold(lease: Lease) {
+    tokio::spawn(async move {
+        tokio::time::sleep(jitter(SHED_PAUSE, &mut Dice)).await;
+        drop(lease);
+    });
+}
+
 /// Whether only the end of the connection would end the body; a cut would look the same.
 fn is_unframed(answer: &Response<Incoming>) -> bool {
     let body = answer.body();
