--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     clock::Monotonic,
-    entry::{claims::Claims, counters::Counters, slot, stop::Stop},
+    entry::{claims::Claims, counters::Counters, jobs::Jobs, slot, stop::Stop},
     http::client::{Client, Protocol},
     metrics,
     settings::Settings,
@@ -44,6 +44,8 @@
     pub control: Client,
     /// Claims of requests that run at most once.
     pub claims: Claims,
+    /// Requests that may wait.
+    pub jobs: Jobs,
     /// The log.
     pub log: Logger,
     /// The metrics.
@@ -73,6 +75,7 @@
         let host = settings.host.name.as_str();
         Ok(State(Arc::new(Shared {
             claims: Claims::start(&store, &settings.environment, host),
+            jobs: Jobs::start(store, host),
             name: settings.host.name.clone(),
             clock: Monotonic::start(),
             servers: Client::new(Protocol::Http1),
