--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,7 +8,7 @@
     deployment::{Deployment, Ports},
     fleet,
     load::{self, Offer},
-    platform, sample,
+    platform, sample, scale,
 };
 
 /// Stand-ins and measures for tests and benchmarks.
@@ -24,6 +24,7 @@
     Platform(Platform),
     Fleet(Fleet),
     Sample(Sample),
+    Scale(Scale),
     Load(Load),
     Cost(Cost),
 }
@@ -75,6 +76,21 @@
     }
 }
 
+/// Measure how state, time and messages grow; build with --release.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// blocks, sites, hosts, events or timeline
+    #[argh(positional)]
+    topic: String,
+}
+
+impl Scale {
+    fn run(&self) -> io::Result<()> {
+        scale::run(self.topic.as_str().try_into().map_err(io::Error::other)?)
+    }
+}
+
 /// Send load to the entry hosts of a running deployment and check what its servers ran.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "load")]
@@ -169,6 +185,7 @@
             }
             Command::Fleet(fleet) => fleet::run(&fleet.file).await,
             Command::Sample(sample) => sample.run(),
+            Command::Scale(scale) => scale.run(),
             Command::Load(load) => load.run().await,
             Command::Cost(cost) => cost.run().await,
         }
--- /dev/null
+++ b/crates/lab/src/scale/fit.rs
@@ -0,0 +1,37 @@
+//! A straight line through measured points.
+
+use std::fmt;
+
+/// A straight line by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    /// The value at size 0.
+    pub base: f64,
+    /// The rise for each unit of size.
+    pub slope: f64,
+    /// The largest distance of a point from the line, as a share of the largest value.
+    pub residual: f64,
+}
+
+impl Fit {
+    /// The line through points of size and value.
+    pub fn new(points: &[(f64, f64)]) -> Fit {
+        let count = points.len() as f64;
+        let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
+        let (x, y) = (mean(|point| point.0), mean(|point| point.1));
+        let covariance: f64 = points.iter().map(|point| (point.0 - x) * (point.1 - y)).sum();
+        let variance: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
+        let slope = covariance / variance;
+        let base = y - slope * x;
+        let largest = points.iter().map(|point| point.1.abs()).fold(0.0, f64::max);
+        let distance = points.iter().map(|point| (point.1 - base - slope * point.0).abs());
+        Fit { base, slope, residual: distance.fold(0.0, f64::max) / largest }
+    }
+}
+
+impl fmt::Display for Fit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fit { base, slope, residual } = self;
+        write!(f, "{base:.3} + {slope:.6} x\tresidual {:.1} %", residual * 100.0)
+    }
+}
