Rank only the hosts near a site for its locate answer

Change: entry::Directory sorts hosts by zone and region once; farther hosts are ranked only if the nearer ones are too few. Conclusion: the cost of a site no longer grows with the number of all hosts.

--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -6,7 +6,7 @@
 pub mod rank;
 
 pub use host::Host;
-pub use locate::{Answer, Policy};
+pub use locate::{Answer, Directory, Policy};
 pub use membership::{Member, Membership};
 
 checked_name! {
--- a/crates/oleanderspan/src/entry/locate.rs
+++ b/crates/oleanderspan/src/entry/locate.rs
@@ -1,6 +1,6 @@
 //! Which entry hosts a caller should use.
 
-use crate::{caller::Site, entry::Host, entry::rank, prelude::*};
+use crate::{availability, caller::Site, entry::Host, entry::rank, prelude::*, region};
 
 value! {
     /// How locate answers are made.
@@ -21,22 +21,56 @@
 
 impl Answer {
     /// Orders hosts for callers of `site`: its zone, then its region, then the others.
+    pub fn new(site: &Site, hosts: &[Host], policy: &Policy) -> Answer {
+        Directory::new(hosts).answer(site, policy)
+    }
+}
+
+/// Hosts that take callers, by where they are, for the answers of many sites.
+#[derive(Clone, Debug)]
+pub struct Directory<'a> {
+    all: Vec<&'a Host>,
+    zones: Map<availability::Index, Vec<&'a Host>>,
+    regions: Map<region::Index, Vec<&'a Host>>,
+}
+
+impl<'a> Directory<'a> {
+    /// The directory of those of `hosts` that take callers.
+    pub fn new(hosts: &'a [Host]) -> Directory<'a> {
+        let all: Vec<&Host> = hosts.iter().filter(|host| host.takes_callers()).collect();
+        let mut zones: Map<_, Vec<&Host>> = Map::default();
+        let mut regions: Map<_, Vec<&Host>> = Map::default();
+        for host in &all {
+            zones.entry(host.zone).or_default().push(host);
+            regions.entry(host.region).or_default().push(host);
+        }
+        Directory { all, zones, regions }
+    }
+
+    /// The hosts for callers of `site`.
     ///
     /// Hosts equally near are ordered by rendezvous rank of the site, so that sites of one zone
-    /// spread over the hosts of that zone.
-    pub fn new(site: &Site, hosts: &[Host], policy: &Policy) -> Answer {
-        let mut usable: Vec<&Host> = hosts.iter().filter(|host| host.takes_callers()).collect();
-        rank::sort(&mut usable, site.name.as_str(), |host| host.name.as_str());
-        usable.sort_by_key(|host| distance(site, host));
-        let addresses = usable.iter().take(policy.answers).map(|host| host.caller_address);
+    /// spread over the hosts of that zone. Farther hosts are ranked only if the nearer ones are
+    /// too few, as most of the work would be thrown away.
+    pub fn answer(&self, site: &Site, policy: &Policy) -> Answer {
+        let subject = site.name.as_str();
+        let zone = self.zones.get(&site.zone).map_or(&[][..], Vec::as_slice);
+        let region = self.regions.get(&site.region).map_or(&[][..], Vec::as_slice);
+        let mut nearest = ranked(zone, subject, |_| true);
+        if nearest.len() < policy.answers {
+            nearest.extend(ranked(region, subject, |host| host.zone != site.zone));
+        }
+        if nearest.len() < policy.answers {
+            let is_far = |host: &Host| host.zone != site.zone && host.region != site.region;
+            nearest.extend(ranked(&self.all, subject, is_far));
+        }
+        let addresses = nearest.iter().take(policy.answers).map(|host| host.caller_address);
         Answer { addresses: addresses.collect() }
     }
 }
 
-fn distance(site: &Site, host: &Host) -> u8 {
-    match host {
-        host if host.zone == site.zone => 0,
-        host if host.region == site.region => 1,
-        _ => 2,
-    }
+fn ranked<'a>(hosts: &[&'a Host], subject: &str, usable: impl Fn(&Host) -> bool) -> Vec<&'a Host> {
+    let mut ranked: Vec<&Host> = hosts.iter().copied().filter(|host| usable(host)).collect();
+    rank::sort(&mut ranked, subject, |host| host.name.as_str());
+    ranked
 }
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::{
     backend::{self, Pool, Server, Waiter},
     caller, document,
-    entry::{self, Answer, Host, rank},
+    entry::{self, Answer, Directory, Host, rank},
     prelude::*,
     region, request, service,
     shift::{self, Diffuser},
@@ -85,7 +85,8 @@
     /// Builds the snapshot that follows `prior`.
     pub fn new(input: Input, prior: Option<&Snapshot<W>>) -> Snapshot<W> {
         let draft = input.draft;
-        let answers = draft.sites.iter().map(|site| Answer::new(site, &input.hosts, &draft.locate));
+        let directory = Directory::new(&input.hosts);
+        let answers = draft.sites.iter().map(|site| directory.answer(site, &draft.locate));
         let services =
             (0u16..).zip(&draft.services).zip(input.shares).map(|((i, service), shares)| {
                 let index = service::Index(i);
