--- a/crates/lab/src/scale/document.rs
+++ b/crates/lab/src/scale/document.rs
@@ -106,6 +106,8 @@
         hosts: hosts.iter().map(|host| wired(host, &draft)).collect(),
         servers: Vec::new(),
         shares: Vec::new(),
+        failed: Vec::new(),
+        withheld: Vec::new(),
         document: raw::Document { blocks: BTreeMap::new(), ..document },
     };
     let bytes = codec::to_wire(&wired).map_err(|error| io::Error::other(error.to_string()))?;
@@ -116,6 +118,7 @@
         hosts,
         servers: Vec::new(),
         shares: Vec::new(),
+        is_stale: false,
         own,
     };
     let before = resident_bytes()?;
--- a/crates/node/src/control/exchange/feed.rs
+++ b/crates/node/src/control/exchange/feed.rs
@@ -8,7 +8,7 @@
     control::{
         State,
         exchange::{self, signs},
-        membership,
+        membership, shares,
     },
     http::Body,
     wire,
@@ -55,5 +55,8 @@
         membership::refresh(state);
         state.roster.hurry();
     }
+    if let Some(loads) = observation.loads {
+        shares::note_own_loads(state, loads);
+    }
     exchange::status(StatusCode::NO_CONTENT)
 }
