--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::{
     backend::{self, Pool, Server, Waiter},
     caller, document,
-    entry::{self, Answer, Host, host::State, rank},
+    entry::{self, Answer, Directory, Host, host::State, rank},
     prelude::*,
     region, request, service,
     shift::{self, Diffuser, Spill},
@@ -119,7 +119,8 @@
     pub fn new(input: Input, prior: Option<&Snapshot<W>>) -> Snapshot<W> {
         let advised = advised(&input);
         let draft = input.draft;
-        let answers = draft.sites.iter().map(|site| Answer::new(site, &advised, &draft.locate));
+        let directory = Directory::new(&advised);
+        let answers = draft.sites.iter().map(|site| directory.answer(site, &draft.locate));
         let services =
             (0u16..).zip(&draft.services).zip(input.shares).map(|((i, service), shares)| {
                 let index = service::Index(i);
