Split documents into content-hashed parts and record operations

Cause: a change spread as a whole document (540,000 blocks are 6.5 MB), and a repeated command after a later version was told that it had raced. Change: document::part (head, sites, one part a service, blocks in 4,096 buckets under a tree of hashes), document::Record (the last 32 operations with their versions), document::Standing (never down, a second document of one version is corrupt); hosts and entry daemons fetch only the parts that they lack, each against its hash, the whole again on a mismatch. The accepting host holds the document before it answers. A started host serves once the store told it what is in force or it had 2 s to hear of its peers. Two readers of the record a zone. The environment is in no part, so a promotion moves the very manifest tried. Seen to fail: without the look-up of operations and with a standing that takes earlier versions, document_record fails in the walk and in the proptest. Conclusion: a moved block is 4 parts under 6,000 bytes at 20,000 blocks.

--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use oleanderspan::document::Hash;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Writes a value as MessagePack with named fields, so that fields can be added later.
@@ -33,9 +34,9 @@
     Ok(value)
 }
 
-/// The content hash of bytes, in hexadecimal.
-pub fn hash(bytes: &[u8]) -> String {
-    blake3::hash(bytes).to_hex().to_string()
+/// The content hash of bytes.
+pub fn content_hash(bytes: &[u8]) -> Hash {
+    Hash::from_bytes(*blake3::hash(bytes).as_bytes())
 }
 
 /// Why bytes could not be read or written.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,7 +6,9 @@
 pub mod exchange;
 pub mod listing;
 pub mod operator;
+pub mod parts;
 pub mod publication;
+pub mod source;
 pub mod state;
 
 use std::io;
--- a/crates/node/src/control/acceptance.rs
+++ b/crates/node/src/control/acceptance.rs
@@ -1,48 +1,64 @@
 //! Acceptance of documents through the platform's service, and the watch for accepted ones.
+//!
+//! Parts go to the object store first, then one conditional write moves the environment's
+//! record. A write whose answer was lost is settled by reading back.
 
+use bytes::Bytes;
+use futures_util::{StreamExt, TryStreamExt, stream};
 use oleanderspan::{
-    document::{Version, raw},
+    document::{
+        Hash, Proposal, Record, Shown, Version, raw,
+        record::{self, Decision},
+    },
+    entry::rank,
     event::Kind,
     prelude::*,
 };
-use serde::{Deserialize, Serialize};
 use slog::debug;
 
 use crate::{
     codec,
-    control::{State, state::Accepted, state::Error},
+    control::{
+        State,
+        parts::Parts,
+        source::{self, MAX_OBJECTS_AT_ONCE},
+        state::Error,
+    },
     store::{self, Expect, Transaction, Write},
 };
 
-/// The mean time between two looks at the environment's row.
+/// The mean time between two looks at the environment's record.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The row of an environment.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Standing {
-    /// The content hash of the document in force.
-    pub document: String,
-    /// The operation that put it into force.
-    pub operation: String,
-}
+/// Hosts of a zone that look at the record; all others learn from peers.
+const READERS_PER_ZONE: usize = 2;
+
+/// How often a part is stored before the proposal is given up.
+const MAX_STORE_TRIES: u32 = 3;
+
+/// How often the record is read back after a write without an answer.
+const MAX_SETTLE_TRIES: u32 = 3;
+
+/// The wait between two such reads.
+const SETTLE_PAUSE: Duration = Duration::from_millis(300);
 
 /// How a proposal ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It is in force, or was already by the same operation.
-    Accepted(Version),
-    /// Another version is in force than the one that the operator saw.
-    Raced(Version),
+pub enum Outcome {
+    /// The record tells.
+    Settled(record::Verdict),
     /// The platform's service is away; nothing was changed.
     Away(String),
     /// The platform's service did not answer, and reading back did not tell either.
     Unknown(String),
 }
 
-/// Follows the environment's row for ever.
+/// Follows the environment's record for ever.
 pub async fn watch(state: State) {
     loop {
-        if let Err(error) = look(&state).await {
+        if (is_reader(&state) || !state.is_ready())
+            && let Err(error) = look(&state).await
+        {
             debug!(state.log, "environment not read"; "error" => %error);
         }
         let jitter = rand::random_range(0.75..1.25);
@@ -50,91 +66,143 @@
     }
 }
 
+/// Whether this host is among those of its zone that read the record.
+fn is_reader(state: &State) -> bool {
+    let own = state.own_host();
+    let mut hosts: Vec<String> = {
+        let inner = state.lock();
+        let near = inner.hosts.values().filter(|peer| peer.host.zone == own.zone);
+        near.map(|peer| peer.host.name.clone()).collect()
+    };
+    hosts.push(own.name.clone());
+    rank::sort(&mut hosts, &format!("readers/{}", own.zone), String::as_str);
+    hosts.iter().take(READERS_PER_ZONE).any(|name| *name == own.name)
+}
+
 async fn look(state: &State) -> Result<(), Error> {
-    let environment = state.settings.environment.as_str();
-    let Some((version, standing)) = read(state, environment).await? else { return Ok(()) };
-    let known = state.lock().accepted.as_ref().map(|accepted| accepted.version);
-    if known.is_some_and(|known| known >= version) {
-        return Ok(());
-    }
-    if let Some(raw) = fetch(state, &standing.document).await? {
-        state.put_in_force(Accepted::new(version, standing.document, raw)?);
+    let found = read(state, state.settings.environment.as_str()).await?;
+    if let Some((version, record)) = found {
+        let shown = Shown { version, document: record.document };
+        state.learn(shown, &state.store).await?;
     }
+    state.note_store_told();
     Ok(())
 }
 
-/// Reads the row of an environment.
-pub async fn read(state: &State, environment: &str) -> Result<Option<(Version, Standing)>, Error> {
+/// Reads the record of an environment.
+pub async fn read(state: &State, environment: &str) -> Result<Option<(Version, Record)>, Error> {
     let rows = state.store.read(vec![row_key(environment)]).await?;
     let Some(row) = rows.first() else { return Ok(None) };
     Ok(Some((Version(row.version), codec::from_json(row.value.as_bytes())?)))
 }
 
-/// Fetches a document by its content hash.
-pub async fn fetch(state: &State, hash: &str) -> Result<Option<raw::Document>, Error> {
-    let Some(bytes) = state.store.get(&object_name(hash)).await? else { return Ok(None) };
-    Ok(Some(codec::from_wire(&bytes)?))
+/// Gathers a document; parts of the one in force are not fetched again.
+pub async fn fetch(state: &State, document: Hash) -> Result<Parts, Error> {
+    let known = state.accepted().map(|accepted| accepted.parts);
+    Ok(Parts::gather(document, known.as_deref(), &state.store).await?.parts)
 }
 
-/// Stores the document, then moves the environment's row from `base` to the next version.
+/// Stores the parts of a document, then moves the environment's record to it.
 pub async fn propose(
     state: &State,
     environment: &str,
     base: Version,
     operation: &str,
     document: &raw::Document,
-) -> Result<Verdict, Error> {
-    let bytes = codec::to_wire(document)?;
-    let hash = codec::hash(&bytes);
-    if let Err(error) = state.store.put(&object_name(&hash), bytes).await {
-        return Ok(Verdict::Away(error.to_string()));
+) -> Result<Outcome, Error> {
+    let parts = Parts::split(document)?;
+    let stored = state.accepted().map(|accepted| accepted.parts);
+    let lacking: Vec<(Hash, Bytes)> =
+        parts.lacking(stored.as_deref()).map(|(hash, bytes)| (*hash, bytes.clone())).collect();
+    let puts = stream::iter(lacking).map(async |(hash, bytes)| store(state, hash, bytes).await);
+    if let Err(error) = puts.buffer_unordered(MAX_OBJECTS_AT_ONCE).try_collect::<Vec<()>>().await {
+        return Ok(Outcome::Away(error.to_string()));
+    }
+    let proposal = Proposal { base, operation, document: parts.root() };
+    advance(state, environment, &proposal, parts).await
+}
+
+/// Stores one part; parts never change, so that a repetition is harmless.
+async fn store(state: &State, hash: Hash, bytes: Bytes) -> Result<(), store::Error> {
+    let name = source::object_name(&hash);
+    let mut tries = 0;
+    loop {
+        let stored = state.store.put(&name, bytes.to_vec()).await;
+        tries += 1;
+        if stored.is_ok() || tries == MAX_STORE_TRIES {
+            return stored;
+        }
     }
-    advance(state, environment, base, Standing { document: hash, operation: operation.to_owned() })
-        .await
 }
 
-/// Moves the environment's row from `base` to the next version.
+/// Moves the environment's record to a document whose parts are stored; once accepted it is in
+/// force here and spreads from here, also if the store goes away now.
 pub async fn advance(
     state: &State,
     environment: &str,
-    base: Version,
-    standing: Standing,
-) -> Result<Verdict, Error> {
+    proposal: &Proposal<'_>,
+    parts: Parts,
+) -> Result<Outcome, Error> {
+    let outcome = write(state, environment, proposal).await?;
+    let detail = format!("{environment}, operation {}", proposal.operation);
+    match &outcome {
+        Outcome::Settled(record::Verdict::Accepted(version)) => {
+            state.record(Kind::Accepted, version.to_string(), detail);
+            if state.settings.environment.as_str() == environment {
+                state.take_over(Shown { version: *version, document: parts.root() }, parts)?;
+            }
+        }
+        other => state.record(Kind::Refused, detail, format!("{other:?}")),
+    }
+    Ok(outcome)
+}
+
+async fn write(
+    state: &State,
+    environment: &str,
+    proposal: &Proposal<'_>,
+) -> Result<Outcome, Error> {
+    let found = match read(state, environment).await {
+        Ok(found) => found,
+        Err(Error::Store(error)) => return Ok(Outcome::Away(error.to_string())),
+        Err(error) => return Err(error),
+    };
+    let record = match proposal.decide(found.as_ref().map(|(version, record)| (*version, record))) {
+        Decision::Write(record) => record,
+        Decision::Settled(verdict) => return Ok(Outcome::Settled(verdict)),
+    };
+    let base = proposal.base;
     let expect = if base == Version::NONE { Expect::Absent } else { Expect::Version(base.0) };
-    let value = String::from_utf8_lossy(&codec::to_json(&standing)?).into_owned();
+    let value = String::from_utf8_lossy(&codec::to_json(&record)?).into_owned();
     let write = Write { key: row_key(environment), expect, value };
-    let verdict = match state.store.transact(&Transaction { writes: vec![write] }).await {
-        Ok(()) => Verdict::Accepted(base.next()),
-        Err(store::Error::Away(reason)) => Verdict::Away(reason),
-        Err(store::Error::Conflict(_)) => settle(state, environment, &standing).await,
-        Err(store::Error::Unanswered(_)) => settle(state, environment, &standing).await,
-        Err(error) => return Err(error.into()),
-    };
-    match &verdict {
-        Verdict::Accepted(version) => {
-            state.record(Kind::Accepted, version.to_string(), environment);
+    match state.store.transact(&Transaction { writes: vec![write] }).await {
+        Ok(()) => Ok(Outcome::Settled(record::Verdict::Accepted(base.next()))),
+        Err(store::Error::Away(reason)) => Ok(Outcome::Away(reason)),
+        Err(store::Error::Conflict(_) | store::Error::Unanswered(_)) => {
+            Ok(settle(state, environment, proposal).await)
         }
-        other => state.record(Kind::Refused, environment, format!("{other:?}")),
+        Err(error) => Err(error.into()),
     }
-    Ok(verdict)
 }
 
 /// Finds out by reading what became of a write whose answer did not tell.
-async fn settle(state: &State, environment: &str, wanted: &Standing) -> Verdict {
-    match read(state, environment).await {
-        Ok(Some((version, found))) if found.operation == wanted.operation => {
-            Verdict::Accepted(version)
+async fn settle(state: &State, environment: &str, proposal: &Proposal<'_>) -> Outcome {
+    let mut reason = "the write may yet take effect".to_owned();
+    for _ in 0..MAX_SETTLE_TRIES {
+        match read(state, environment).await {
+            Ok(found) => {
+                let current = found.as_ref().map(|(version, record)| (*version, record));
+                if let Some(verdict) = proposal.settle(current) {
+                    return Outcome::Settled(verdict);
+                }
+            }
+            Err(error) => reason = error.to_string(),
         }
-        Ok(Some((version, _))) => Verdict::Raced(version),
-        Ok(None) => Verdict::Unknown("the write may yet take effect".to_owned()),
-        Err(error) => Verdict::Unknown(error.to_string()),
+        tokio::time::sleep(SETTLE_PAUSE).await;
     }
+    Outcome::Unknown(reason)
 }
 
 fn row_key(environment: &str) -> String {
     format!("environment/{environment}")
 }
-
-fn object_name(hash: &str) -> String {
-    format!("document-{hash}")
-}
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -4,15 +4,16 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use oleanderspan::{document::Version, event::Kind, event::Stamp, prelude::*};
+use oleanderspan::{
+    document::{Hash, Shown, Version},
+    event::{Kind, Stamp},
+    prelude::*,
+};
 use slog::debug;
 
 use crate::{
     codec,
-    control::{
-        State,
-        state::{Accepted, Peer as Heard},
-    },
+    control::{State, parts, source, state::Peer as Heard},
     entry::feed::POLL_LIMIT,
     http::{Body, server::Handler},
     wire,
@@ -87,7 +88,7 @@
         stamp: state.hybrid.tick(crate::clock::wall_millis()).get(),
         environment: state.settings.environment.to_string(),
         version: accepted.map_or(0, |accepted| accepted.version.0),
-        document: accepted.map_or_else(String::new, |accepted| accepted.hash.clone()),
+        document: accepted.map(|accepted| accepted.hash),
         leaving: inner.leaving.iter().cloned().collect(),
     }
 }
@@ -102,11 +103,10 @@
     }
     let address = heard.from.peer_address;
     note_host(state, heard.from);
-    let known = state.lock().accepted.as_ref().map_or(Version::NONE, |a| a.version);
-    if Version(heard.version) > known {
-        fetch_from(state, address, Version(heard.version), heard.document).await?;
-    }
-    Ok(())
+    let Some(document) = heard.document else { return Ok(()) };
+    let shown = Shown { version: Version(heard.version), document };
+    let peer = source::Peer { client: &state.peers, address };
+    state.learn(shown, &peer).await.map_err(|error| error.to_string())
 }
 
 fn note_host(state: &State, host: wire::Host) {
@@ -120,27 +120,6 @@
     }
 }
 
-/// Takes a document over from a peer, so that it spreads also while the store is away.
-async fn fetch_from(
-    state: &State,
-    peer: SocketAddr,
-    version: Version,
-    hash: String,
-) -> Result<(), String> {
-    let request = Request::get(format!("http://{peer}/document/{hash}"))
-        .body(Body::empty())
-        .map_err(|error| error.to_string())?;
-    let answered = state.peers.call(request, LIMIT).await;
-    let (status, body) = answered.map_err(|error| error.to_string())?;
-    if status != StatusCode::OK || codec::hash(&body) != hash {
-        return Err(format!("peer does not have document {hash}"));
-    }
-    let raw = codec::from_wire(&body).map_err(|error| error.to_string())?;
-    let accepted = Accepted::new(version, hash, raw).map_err(|error| error.to_string())?;
-    state.put_in_force(accepted);
-    Ok(())
-}
-
 /// Answers other control daemons and the own entry daemon.
 #[derive(Clone, Debug)]
 pub struct Peer(pub State);
@@ -154,17 +133,12 @@
         if let Some(seen) = path.strip_prefix("/snapshot/") {
             return self.snapshot(seen).await;
         }
-        if path.starts_with("/blocks/") {
-            return self.blocks();
-        }
-        if let Some(hash) = path.strip_prefix("/document/") {
-            return self.document(hash);
-        }
         let Ok(body) = Limited::new(body, MAX_MESSAGE_BYTES).collect().await else {
             return status(StatusCode::PAYLOAD_TOO_LARGE);
         };
         match (&head.method, path) {
             (&Method::POST, "/exchange") => self.exchange(&body.to_bytes()).await,
+            (&Method::POST, "/parts") => self.parts(&body.to_bytes()),
             (&Method::POST, "/observe") => self.observe(&body.to_bytes()),
             _ => status(StatusCode::NOT_FOUND),
         }
@@ -186,18 +160,15 @@
         status(StatusCode::NO_CONTENT)
     }
 
-    fn blocks(&self) -> Response<Body> {
-        let accepted = self.0.lock().accepted.clone();
-        match accepted {
-            Some(accepted) => wire(&wire::Blocks { blocks: accepted.raw.blocks.clone() }),
-            None => status(StatusCode::NOT_FOUND),
-        }
-    }
-
-    fn document(&self, hash: &str) -> Response<Body> {
-        let accepted = self.0.lock().accepted.clone();
-        match accepted.filter(|accepted| accepted.hash == hash) {
-            Some(accepted) => wire(&*accepted.raw),
+    /// Answers with parts of the document in force.
+    fn parts(&self, body: &[u8]) -> Response<Body> {
+        let Ok(hashes) = codec::from_wire::<Vec<Hash>>(body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let Some(accepted) = self.0.accepted() else { return status(StatusCode::NOT_FOUND) };
+        let part = |hash: &Hash| Some(wire::Blob(accepted.parts.get(hash)?.clone()));
+        match hashes.iter().take(parts::MAX_BATCH).map(part).collect() {
+            Some(parts) => wire(&wire::Parts { parts }),
             None => status(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -4,14 +4,17 @@
     ApiDescription, ConfigDropshot, HttpError, HttpResponseCreated, HttpResponseOk, HttpServer,
     Path, RequestContext, ServerBuilder, TypedBody, endpoint,
 };
-use oleanderspan::document::{Draft, Version, raw};
+use oleanderspan::{
+    document::{self, Draft, Verdict, Version, raw},
+    prelude::*,
+};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use slog::o;
 
 use crate::control::{
     State,
-    acceptance::{self, Verdict},
+    acceptance::{self, Outcome},
 };
 
 /// The largest document that can be proposed.
@@ -83,6 +86,17 @@
     pub version: u64,
 }
 
+/// An operation that was accepted.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Operation {
+    /// The id that the operator gave.
+    pub id: String,
+    /// The version that it made.
+    pub version: u64,
+    /// The content hash of that version.
+    pub document: String,
+}
+
 /// A document with its version.
 #[derive(Debug, Serialize, Deserialize, JsonSchema)]
 pub struct Document {
@@ -125,6 +139,7 @@
     let registered = [
         api.register(get_status),
         api.register(get_document),
+        api.register(get_operations),
         api.register(propose),
         api.register(promote),
         api.register(get_timeline),
@@ -151,7 +166,7 @@
         host: own.name,
         environment: state.settings.environment.to_string(),
         version: inner.accepted.as_ref().map_or(0, |accepted| accepted.version.0),
-        document: inner.accepted.as_ref().map_or_else(String::new, |a| a.hash.clone()),
+        document: inner.accepted.as_ref().map_or_else(String::new, |a| a.hash.to_string()),
         hosts: hosts.collect(),
         shares: inner.snapshot.as_ref().map_or_else(Vec::new, |s| s.shares.clone()),
     }))
@@ -165,17 +180,34 @@
 ) -> Result<HttpResponseOk<Document>, HttpError> {
     let state = context.context();
     let environment = path.into_inner().environment;
-    let own = state.lock().accepted.clone();
-    if let Some(own) = own.filter(|_| state.settings.environment.as_str() == environment) {
-        let document = (*own.raw).clone();
-        return Ok(HttpResponseOk(Document { version: own.version.0, document }));
-    }
-    let (version, standing) = standing(state, &environment).await?;
-    let document = acceptance::fetch(state, &standing.document).await.map_err(unavailable)?;
-    let document = document.ok_or_else(|| missing("the document is not in the store"))?;
+    let own = state.accepted().filter(|_| state.settings.environment.as_str() == environment);
+    let (version, parts) = match own {
+        Some(own) => (own.version, own.parts),
+        None => {
+            let (version, record) = record(state, &environment).await?;
+            let parts = acceptance::fetch(state, record.document).await.map_err(unavailable)?;
+            (version, Arc::new(parts))
+        }
+    };
+    let document = parts.whole(&environment).map_err(|error| unavailable(error.into()))?;
     Ok(HttpResponseOk(Document { version: version.0, document }))
 }
 
+/// The last operations on an environment, the latest first.
+#[endpoint { method = GET, path = "/v1/environments/{environment}/operations" }]
+async fn get_operations(
+    context: RequestContext<State>,
+    path: Path<EnvironmentPath>,
+) -> Result<HttpResponseOk<Vec<Operation>>, HttpError> {
+    let (_, record) = record(context.context(), &path.into_inner().environment).await?;
+    let operations = record.operations.into_iter().map(|operation| Operation {
+        id: operation.id,
+        version: operation.version,
+        document: operation.document.to_string(),
+    });
+    Ok(HttpResponseOk(operations.collect()))
+}
+
 /// Proposes a document; exactly one of several racing operators wins.
 #[endpoint { method = POST, path = "/v1/environments/{environment}/proposals" }]
 async fn propose(
@@ -207,16 +239,16 @@
     let environment = path.into_inner().environment;
     let promotion = body.into_inner();
     let state = context.context();
-    let (tried, standing) = standing(state, &promotion.from).await?;
-    if tried.0 != promotion.tried {
-        return conclude(Verdict::Raced(tried));
-    }
-    let document = acceptance::fetch(state, &standing.document).await.map_err(unavailable)?;
-    let tried = document.ok_or_else(|| missing("the document is not in the store"))?;
-    let document = raw::Document { environment: environment.clone(), ..tried };
-    let base = Version(promotion.base);
-    let verdict = acceptance::propose(state, &environment, base, &promotion.operation, &document);
-    conclude(verdict.await.map_err(unavailable)?)
+    let (_, record) = record(state, &promotion.from).await?;
+    let tried = record.operations.iter().find(|made| made.version == promotion.tried);
+    let tried = tried.ok_or_else(|| missing("the record does not have the version tried"))?;
+    let proposal = document::Proposal {
+        base: Version(promotion.base),
+        operation: &promotion.operation,
+        document: tried.document,
+    };
+    let parts = acceptance::fetch(state, tried.document).await.map_err(unavailable)?;
+    conclude(acceptance::advance(state, &environment, &proposal, parts).await.map_err(unavailable)?)
 }
 
 /// The recent events that this process recorded.
@@ -236,27 +268,39 @@
     Ok(HttpResponseOk(events.collect()))
 }
 
-async fn standing(
+async fn record(
     state: &State,
     environment: &str,
-) -> Result<(Version, acceptance::Standing), HttpError> {
+) -> Result<(Version, document::Record), HttpError> {
     let found = acceptance::read(state, environment).await.map_err(unavailable)?;
     found.ok_or_else(|| missing("the environment has no document"))
 }
 
-fn conclude(verdict: Verdict) -> Result<HttpResponseCreated<Acceptance>, HttpError> {
+fn conclude(outcome: Outcome) -> Result<HttpResponseCreated<Acceptance>, HttpError> {
+    let verdict = match outcome {
+        Outcome::Settled(verdict) => verdict,
+        Outcome::Away(reason) => return Err(unavailable_for("away", reason)),
+        Outcome::Unknown(reason) => return Err(unavailable_for("unknown", reason)),
+    };
     match verdict {
         Verdict::Accepted(version) => Ok(HttpResponseCreated(Acceptance { version: version.0 })),
-        Verdict::Raced(version) => Err(HttpError::for_client_error(
-            Some("raced".to_owned()),
-            dropshot::ClientErrorStatusCode::CONFLICT,
-            format!("version {version} is in force"),
-        )),
-        Verdict::Away(reason) => Err(HttpError::for_unavail(Some("away".to_owned()), reason)),
-        Verdict::Unknown(reason) => Err(HttpError::for_unavail(Some("unknown".to_owned()), reason)),
+        Verdict::Raced(version) => Err(conflict("raced", format!("version {version} is in force"))),
+        Verdict::Reused(version) => {
+            let reason = format!("the operation id belongs to another document, version {version}");
+            Err(conflict("reused", reason))
+        }
     }
 }
 
+fn conflict(code: &str, reason: String) -> HttpError {
+    let status = dropshot::ClientErrorStatusCode::CONFLICT;
+    HttpError::for_client_error(Some(code.to_owned()), status, reason)
+}
+
+fn unavailable_for(code: &str, reason: String) -> HttpError {
+    HttpError::for_unavail(Some(code.to_owned()), reason)
+}
+
 fn invalid(reason: String) -> HttpError {
     HttpError::for_bad_request(Some("invalid".to_owned()), reason)
 }
--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -28,6 +28,9 @@
 }
 
 fn publish(state: &State) {
+    if !state.is_ready() {
+        return;
+    }
     let own = state.own_host();
     let now = state.clock.now();
     let mut inner = state.lock();
@@ -71,7 +74,7 @@
     wire::Snapshot {
         sequence,
         version: accepted.version.0,
-        blocks: accepted.blocks.clone(),
+        blocks: accepted.blocks,
         servers: servers.collect(),
         shares: shares.collect(),
         document,
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -6,7 +6,7 @@
 };
 
 use oleanderspan::{
-    document::{self, Draft, raw},
+    document::{self, Draft, Hash, Lesson, Shown, Standing, Version, raw},
     event::{Event, Hybrid, Kind},
     prelude::*,
     shift::Slew,
@@ -17,12 +17,17 @@
 use crate::{
     clock::{Monotonic, wall_millis},
     codec,
+    control::parts::{self, Parts, Source},
     http::client::{Client, Protocol},
     settings::Settings,
     store::{self, Store},
     wire,
 };
 
+/// The time after a start in which a host hears of every peer that answers; until then a peer
+/// that is behind could show it less than it had in force before.
+const LEARN_TIME: Duration = Duration::from_secs(2);
+
 /// Events that are kept in memory.
 const MAX_EVENTS: usize = 10_000;
 
@@ -49,6 +54,8 @@
     pub changed: Notify,
     /// The incarnation of this host.
     pub incarnation: u64,
+    /// Held by the task that gathers a document, so that no part is fetched twice.
+    gathering: tokio::sync::Mutex<()>,
     inner: Mutex<Inner>,
     process: Arc<str>,
 }
@@ -59,25 +66,30 @@
     /// Its version.
     pub version: document::Version,
     /// Its content hash.
-    pub hash: String,
-    /// As it is written.
+    pub hash: Hash,
+    /// As it is written, without its blocks.
     pub raw: Arc<raw::Document>,
-    /// As it was checked.
+    /// As it was checked, without its blocks.
     pub draft: Arc<Draft>,
+    /// Its parts, the blocks among them.
+    pub parts: Arc<Parts>,
     /// The content hash of its blocks.
-    pub blocks: String,
+    pub blocks: Hash,
 }
 
 impl Accepted {
-    /// Checks a document that the store or a peer holds.
-    pub fn new(
-        version: document::Version,
-        hash: String,
-        raw: raw::Document,
-    ) -> Result<Accepted, Error> {
+    /// Checks a document whose parts were gathered.
+    pub fn new(version: Version, environment: &str, parts: Parts) -> Result<Accepted, Error> {
+        let raw = parts.without_blocks(environment)?;
         let draft = Draft::try_from(&raw)?;
-        let blocks = codec::hash(&codec::to_wire(&raw.blocks)?);
-        Ok(Accepted { version, hash, raw: Arc::new(raw), draft: Arc::new(draft), blocks })
+        Ok(Accepted {
+            version,
+            hash: parts.root(),
+            blocks: parts.manifest()?.blocks,
+            raw: Arc::new(raw),
+            draft: Arc::new(draft),
+            parts: Arc::new(parts),
+        })
     }
 }
 
@@ -93,8 +105,14 @@
 /// What changes.
 #[derive(Debug, Default)]
 pub struct Inner {
+    /// What is in force.
+    pub standing: Standing,
     /// The document in force.
     pub accepted: Option<Accepted>,
+    /// Whether the store told what is in force since the start.
+    pub store_told: bool,
+    /// Documents that were shown under a version which belongs to another.
+    pub corrupt: Set<Hash>,
     /// Other hosts, by name.
     pub hosts: Map<String, Peer>,
     /// The platform's list, as it was read last.
@@ -128,6 +146,7 @@
             hybrid: Hybrid::default(),
             changed: Notify::new(),
             incarnation: wall_millis(),
+            gathering: tokio::sync::Mutex::default(),
             inner: Mutex::default(),
             process,
             settings,
@@ -162,20 +181,85 @@
         inner.events.push_back(event);
     }
 
-    /// Puts an accepted document into force unless a later one is.
-    pub fn put_in_force(&self, accepted: Accepted) {
-        let version = accepted.version;
+    /// The document in force.
+    pub fn accepted(&self) -> Option<Accepted> {
+        self.lock().accepted.clone()
+    }
+
+    /// Gathers and puts into force what was shown, if it is later than what is in force.
+    pub async fn learn<S: Source>(&self, shown: Shown, source: &S) -> Result<(), Error> {
+        if self.judge(shown) != Lesson::Later {
+            return Ok(());
+        }
+        // Whoever gathers now puts a later version into force as well, or this one is shown again.
+        let Ok(_gathering) = self.gathering.try_lock() else { return Ok(()) };
+        let known = self.accepted().map(|accepted| accepted.parts);
+        let mut gathered = Parts::gather(shown.document, known.as_deref(), source).await;
+        if let Err(parts::Error::Mismatch(hash)) = gathered {
+            self.record(Kind::Corrupt, format!("part {hash}"), "fetching the whole again");
+            gathered = Parts::gather(shown.document, None, source).await;
+        }
+        let gathered = gathered?;
+        let environment = self.settings.environment.as_str();
+        let accepted = Accepted::new(shown.version, environment, gathered.parts)?;
+        let (parts, bytes) = (gathered.fetched_parts, gathered.fetched_bytes);
+        self.put_in_force(accepted, format!("{parts} parts, {bytes} bytes"));
+        Ok(())
+    }
+
+    /// Puts a document into force whose parts are at hand, if it is later.
+    pub fn take_over(&self, shown: Shown, parts: Parts) -> Result<(), Error> {
+        if self.judge(shown) == Lesson::Later {
+            let environment = self.settings.environment.as_str();
+            let accepted = Accepted::new(shown.version, environment, parts)?;
+            self.put_in_force(accepted, "accepted here".to_owned());
+        }
+        Ok(())
+    }
+
+    /// Judges what was shown; a contradiction is recorded once.
+    fn judge(&self, shown: Shown) -> Lesson {
+        let (lesson, first) = {
+            let mut inner = self.lock();
+            let lesson = inner.standing.judge(shown);
+            (lesson, lesson == Lesson::Corrupt && inner.corrupt.insert(shown.document))
+        };
+        if first {
+            let detail = format!("{} was shown and is ignored", shown.document);
+            self.record(Kind::Corrupt, shown.version.to_string(), detail);
+        }
+        lesson
+    }
+
+    fn put_in_force(&self, accepted: Accepted, detail: String) {
+        let shown = Shown { version: accepted.version, document: accepted.hash };
         {
             let mut inner = self.lock();
-            if inner.accepted.as_ref().is_some_and(|current| current.version >= version) {
+            if inner.standing.advance(shown) != Lesson::Later {
                 return;
             }
             inner.accepted = Some(accepted);
         }
-        self.record(Kind::InForce, version.to_string(), "");
+        self.record(Kind::InForce, shown.version.to_string(), detail);
         self.changed.notify_one();
     }
 
+    /// Takes note that the store has told what is in force.
+    pub fn note_store_told(&self) {
+        let first = !std::mem::replace(&mut self.lock().store_told, true);
+        if first {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Whether this host may serve: a document is in force, and either the store has told of the
+    /// latest one or every peer that answers had the time to.
+    pub fn is_ready(&self) -> bool {
+        let learned = self.clock.now() >= Instant::ZERO + LEARN_TIME;
+        let inner = self.lock();
+        inner.accepted.is_some() && (inner.store_told || learned)
+    }
+
     /// Takes note that a server is leaving; true for the first sign of this incarnation.
     pub fn note_leaving(&self, name: &str, incarnation: u64) {
         let first = self.lock().leaving.insert((name.to_owned(), incarnation));
@@ -188,7 +272,7 @@
     /// This host as it tells others of itself.
     pub fn own_host(&self) -> wire::Host {
         let settings = &self.settings;
-        let ready = self.lock().accepted.is_some();
+        let ready = self.is_ready();
         wire::Host {
             name: settings.host.name.to_string(),
             incarnation: self.incarnation,
@@ -210,6 +294,14 @@
     Codec(codec::Error),
     /// The platform's service failed.
     Store(store::Error),
+    /// Parts of the document could not be had.
+    Parts(parts::Error),
+}
+
+impl From<parts::Error> for Error {
+    fn from(error: parts::Error) -> Error {
+        Error::Parts(error)
+    }
 }
 
 impl From<document::Error> for Error {
@@ -236,6 +328,7 @@
             Error::Document(error) => error.fmt(f),
             Error::Codec(error) => error.fmt(f),
             Error::Store(error) => error.fmt(f),
+            Error::Parts(error) => error.fmt(f),
         }
     }
 }
--- a/crates/node/src/entry/feed.rs
+++ b/crates/node/src/entry/feed.rs
@@ -2,12 +2,13 @@
 //!
 //! While the control daemon is dead or frozen the last snapshot stays in force.
 
-use std::fmt;
+use std::{collections::BTreeMap, fmt};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use oleanderspan::{
-    availability, backend, caller, document,
+    availability, backend, caller,
+    document::{self, raw},
     entry::{self, Host},
     prelude::*,
     service,
@@ -18,6 +19,10 @@
 
 use crate::{
     codec,
+    control::{
+        parts::{self, Parts},
+        source,
+    },
     entry::{State, state::Snapshot},
     http::{Body, client},
     wire,
@@ -58,7 +63,26 @@
 struct Feed {
     control: SocketAddr,
     seen: u64,
-    blocks: Option<(String, Arc<caller::Index>)>,
+    blocks: Option<Blocks>,
+}
+
+/// Blocks of clients as they are in force.
+struct Blocks {
+    parts: Parts,
+    sites: BTreeMap<String, raw::Site>,
+    index: Arc<caller::Index>,
+}
+
+impl Blocks {
+    fn new(parts: Parts, sites: BTreeMap<String, raw::Site>) -> Result<Blocks, Error> {
+        let mut blocks = Vec::new();
+        for bucket in parts.buckets(parts.root())? {
+            let bucket: BTreeMap<String, String> = parts.read(&bucket)?;
+            blocks.append(&mut caller::Block::check_all(&bucket, &sites)?);
+        }
+        let index = Arc::new(caller::Index::new(&blocks));
+        Ok(Blocks { parts, sites, index })
+    }
 }
 
 impl Feed {
@@ -79,29 +103,31 @@
         Ok(())
     }
 
-    /// The index of the blocks, fetched and built only when they changed.
+    /// The index of the blocks, built again only when they changed and from the parts that this
+    /// host lacked.
     async fn blocks(
         &mut self,
         state: &State,
         raw: &wire::Snapshot,
     ) -> Result<Arc<caller::Index>, Error> {
-        if let Some((hash, index)) = &self.blocks
-            && *hash == raw.blocks
+        if let Some(blocks) = &self.blocks
+            && blocks.parts.root() == raw.blocks
+            && blocks.sites == raw.document.sites
         {
-            return Ok(Arc::clone(index));
+            return Ok(Arc::clone(&blocks.index));
         }
-        let body = self.get(state, &format!("/blocks/{}", raw.blocks)).await?;
-        let fetched: wire::Blocks = codec::from_wire(&body.ok_or(Error::NoBlocks)?)?;
-        let mut whole = raw.document.clone();
-        whole.blocks = fetched.blocks;
-        let index = Arc::new(caller::Index::new(&document::Draft::try_from(&whole)?.blocks));
-        self.blocks = Some((raw.blocks.clone(), Arc::clone(&index)));
+        let control = source::Peer { client: &state.control, address: self.control };
+        let known = self.blocks.as_ref().map(|blocks| &blocks.parts);
+        let parts = Parts::gather_blocks(raw.blocks, known, &control).await?.parts;
+        let blocks = Blocks::new(parts, raw.document.sites.clone())?;
+        let index = Arc::clone(&blocks.index);
+        self.blocks = Some(blocks);
         Ok(index)
     }
 
     async fn get(&self, state: &State, path: &str) -> Result<Option<Bytes>, Error> {
         let request = Request::get(format!("http://{}{path}", self.control)).body(Body::empty());
-        let request = request.map_err(|_| Error::NoBlocks)?;
+        let request = request.map_err(|error| Error::Request(error.to_string()))?;
         let (status, body) = state.control.call(request, POLL_LIMIT * 2).await?;
         match status {
             StatusCode::OK => Ok(Some(body)),
@@ -170,7 +196,14 @@
     Codec(codec::Error),
     Document(document::Error),
     Shares(shift::Error),
-    NoBlocks,
+    Parts(parts::Error),
+    Request(String),
+}
+
+impl From<parts::Error> for Error {
+    fn from(error: parts::Error) -> Error {
+        Error::Parts(error)
+    }
 }
 
 impl From<client::Error> for Error {
@@ -205,7 +238,8 @@
             Error::Codec(error) => error.fmt(f),
             Error::Document(error) => error.fmt(f),
             Error::Shares(error) => error.fmt(f),
-            Error::NoBlocks => f.write_str("the blocks are not there"),
+            Error::Parts(error) => error.fmt(f),
+            Error::Request(reason) => f.write_str(reason),
         }
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -1,14 +1,18 @@
 //! What our own processes send each other, as it is encoded.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+mod blob;
+
+use std::net::SocketAddr;
 
 use oleanderspan::{
-    document::raw,
+    document::{Hash, raw},
     entry::host::{Incarnation, State},
     event::{Event, Kind, Stamp},
 };
 use serde::{Deserialize, Serialize};
 
+pub use blob::Blob;
+
 /// What is in force on a host, from its control daemon to its entry daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -18,8 +22,8 @@
     pub version: u64,
     /// The document in force, without its blocks.
     pub document: raw::Document,
-    /// The content hash of the blocks, which are fetched only when they changed.
-    pub blocks: String,
+    /// The content hash of the blocks, of which only parts that changed are fetched.
+    pub blocks: Hash,
     /// Entry hosts that are not gone.
     pub hosts: Vec<Host>,
     /// Backend servers.
@@ -28,11 +32,11 @@
     pub shares: Vec<Vec<Vec<u32>>>,
 }
 
-/// The blocks of a document.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Blocks {
-    /// Sites by block.
-    pub blocks: BTreeMap<String, String>,
+/// Parts of a document, in the order in which their hashes were asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Parts {
+    /// The parts.
+    pub parts: Vec<Blob>,
 }
 
 /// An entry host.
@@ -124,7 +128,7 @@
     /// The version in force there.
     pub version: u64,
     /// The content hash of that document.
-    pub document: String,
+    pub document: Option<Hash>,
     /// Servers that are leaving, with their incarnation.
     pub leaving: Vec<(String, u64)>,
 }
--- /dev/null
+++ b/crates/node/tests/document_parts.rs
@@ -0,0 +1,96 @@
+//! Parts of documents: what a change costs, and what a faulty source can do.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use oleanderspan::document::{Hash, raw};
+use oleanderspan_node::control::parts::{Error, Parts, Source};
+use proptest::prelude::*;
+
+/// A source that has the parts of a document, and may answer with other bytes.
+struct Held {
+    parts: Parts,
+    broken: Option<Hash>,
+}
+
+impl Source for Held {
+    async fn fetch(&self, hashes: &[Hash]) -> Result<Vec<Bytes>, Error> {
+        let part = |hash: &Hash| {
+            if self.broken == Some(*hash) {
+                return Ok(Bytes::from_static(b"other"));
+            }
+            self.parts.get(hash).cloned().ok_or(Error::Missing(*hash))
+        };
+        hashes.iter().map(part).collect()
+    }
+}
+
+fn document(blocks: u32) -> raw::Document {
+    let text = r#"{
+        "environment": "trial",
+        "regions": { "r": { "zones": ["r-a"], "ceiling_percent": 90 } },
+        "sites": { "s": { "zone": "r-a" }, "t": { "zone": "r-a" } },
+        "services": {}
+    }"#;
+    let mut document: raw::Document = serde_json::from_str(text).unwrap();
+    let prefix = |i: u32| format!("10.{}.{}.0/24", i >> 8 & 255, i & 255);
+    document.blocks = (0..blocks).map(|i| (prefix(i), "s".to_owned())).collect();
+    document
+}
+
+fn held(document: &raw::Document) -> Held {
+    Held { parts: Parts::split(document).unwrap(), broken: None }
+}
+
+#[tokio::test]
+async fn one_moved_block_is_four_small_parts() {
+    let mut document = document(20_000);
+    let before = Parts::split(&document).unwrap();
+    document.blocks.insert("10.7.7.0/24".to_owned(), "t".to_owned());
+    let source = held(&document);
+    let root = source.parts.root();
+
+    let gathered = Parts::gather(root, Some(&before), &source).await.unwrap();
+    assert_eq!(gathered.fetched_parts, 4, "manifest, root, node and bucket");
+    assert!(gathered.fetched_bytes < 6_000, "{} bytes", gathered.fetched_bytes);
+    assert_eq!(gathered.parts.whole("trial").unwrap(), document);
+
+    let whole = Parts::gather(root, None, &source).await.unwrap();
+    assert!(whole.fetched_bytes > 100_000, "{} bytes", whole.fetched_bytes);
+    assert_eq!(whole.parts, source.parts);
+}
+
+#[tokio::test]
+async fn other_bytes_are_refused_by_their_hash() {
+    let mut source = held(&document(100));
+    let root = source.parts.root();
+    let bucket = source.parts.buckets(source.parts.manifest().unwrap().blocks).unwrap();
+    let bucket = bucket.into_iter().min().unwrap();
+    source.broken = Some(bucket);
+    let refused = Parts::gather(root, None, &source).await.map(|gathered| gathered.parts.root());
+    assert_eq!(refused, Err(Error::Mismatch(bucket)));
+}
+
+#[test]
+fn the_environment_is_in_no_part() {
+    let trial = document(10);
+    let production = raw::Document { environment: "production".to_owned(), ..trial.clone() };
+    assert_eq!(Parts::split(&trial).unwrap(), Parts::split(&production).unwrap());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(8))]
+
+    #[test]
+    fn split_and_joined_documents_are_equal(
+        blocks in proptest::collection::btree_map("[0-9a-f:.]{1,12}/[0-9]{1,2}", "[a-z]{1,4}", 0..200)
+    ) {
+        let document = raw::Document { blocks, ..document(0) };
+        let parts = Parts::split(&document).unwrap();
+        prop_assert_eq!(parts.whole("trial").unwrap(), document);
+        let again: BTreeMap<String, Hash> = parts.manifest().unwrap().services;
+        prop_assert!(again.is_empty());
+    }
+}
--- a/crates/oleanderspan/src/document/draft.rs
+++ b/crates/oleanderspan/src/document/draft.rs
@@ -373,6 +373,18 @@
     }
 }
 
+impl caller::Block {
+    /// Checks blocks against the sites of their document.
+    pub fn check_all(
+        raw: &BTreeMap<String, String>,
+        sites: &BTreeMap<String, raw::Site>,
+    ) -> Result<Vec<caller::Block>, document::Error> {
+        let mut report = Report::default();
+        let blocks = check_blocks(raw, sites, &mut report);
+        report.finish(Some(blocks))
+    }
+}
+
 fn check_blocks(
     raw: &BTreeMap<String, String>,
     sites: &BTreeMap<String, raw::Site>,
--- a/crates/oleanderspan/src/event.rs
+++ b/crates/oleanderspan/src/event.rs
@@ -72,6 +72,8 @@
     Accepted,
     /// A proposed document was refused.
     Refused,
+    /// A document was shown whose content contradicts its version or its hash.
+    Corrupt,
     /// The state of a host changed in the eyes of another.
     HostChanged,
     /// A backend server was seen to leave.
@@ -88,12 +90,13 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 11] = [
+    pub const ALL: [Kind; 12] = [
         Kind::Started,
         Kind::Stopping,
         Kind::InForce,
         Kind::Accepted,
         Kind::Refused,
+        Kind::Corrupt,
         Kind::HostChanged,
         Kind::ServerLeaving,
         Kind::ServerEjected,
@@ -110,6 +113,7 @@
             Kind::InForce => "in-force",
             Kind::Accepted => "accepted",
             Kind::Refused => "refused",
+            Kind::Corrupt => "corrupt",
             Kind::HostChanged => "host-changed",
             Kind::ServerLeaving => "server-leaving",
             Kind::ServerEjected => "server-ejected",
