Prove that an accepted document comes into force and never reverts

Cause: nothing proved the promise; the reason of a refusal with the store away never reached the operator, as dropshot keeps it in the log; joining a document was quadratic in its buckets (19 s for 20,000 blocks in a debug build). Change: process tests of 8 hosts under each fault of the promise; the reason is in the answer; blocks are joined by insertion. A started host has 3 s to hear of its peers where the store does not tell.

--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -33,6 +33,8 @@
     pub delay_ms: u64,
     /// Lose the answers of this share of writes after they took effect, in percent.
     pub lost_answers_percent: u8,
+    /// Lose the answer of the next write after it took effect, and refuse every call from then.
+    pub away_after_write: bool,
     /// Serve the list of servers as it was this long ago.
     pub list_lag_ms: u64,
 }
@@ -228,6 +230,10 @@
         }
         let answer = self.call(&head.method, head.uri.path(), &body);
         let is_write = head.uri.path() == "/v1/table/transact";
+        if is_write && faults.away_after_write {
+            self.lock().faults.away = true;
+            std::future::pending::<()>().await;
+        }
         if is_write && rand::random_range(0..100) < faults.lost_answers_percent {
             std::future::pending::<()>().await;
         }
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::{
     env, fs,
     net::{SocketAddr, UdpSocket},
+    ops::Range,
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
     time::{Duration, Instant},
@@ -13,6 +14,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
+use oleanderspan::document::raw;
 use oleanderspan_lab::{
     deployment::{Deployment, Ports},
     fleet::Ledger,
@@ -61,6 +63,24 @@
     Control,
 }
 
+/// How a command of the operator ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ran {
+    pub code: i32,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl From<Output> for Ran {
+    fn from(output: Output) -> Ran {
+        Ran {
+            code: output.status.code().unwrap(),
+            stdout: String::from_utf8(output.stdout).unwrap(),
+            stderr: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
 /// An answer, read whole.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -182,6 +202,47 @@
         }
     }
 
+    /// All hosts.
+    pub fn everyone(&self) -> Range<u16> {
+        1..self.count() + 1
+    }
+
+    /// Proposes at a host the first document with a site named after the operation.
+    pub fn propose(&self, host: u16, base: &str, operation: &str) -> Ran {
+        let mut document = self.deployment.document("production");
+        let zone = document.regions.values().next().unwrap().zones[0].clone();
+        document.sites.insert(operation.to_owned(), raw::Site { zone });
+        let file = format!("{operation}-{host}.json");
+        fs::write(self.folder.join(&file), serde_json::to_vec(&document).unwrap()).unwrap();
+        let control = self.ports.operator(host).to_string();
+        let named = ["--control", &control, "--base", base, "--operation", operation];
+        self.operate(&[&["propose"], &named[..], &[&file]].concat()).into()
+    }
+
+    /// The version that the control daemon of a host has in force.
+    pub async fn version(&self, host: u16) -> Option<u64> {
+        self.status(host).await.map(|status| status.version)
+    }
+
+    /// The version that an entry host serves, or `None` while it is not ready.
+    pub async fn ready_version(&self, host: u16) -> Option<u64> {
+        let path = "/.well-known/oleanderspan/ready";
+        let answer = self.get(self.ports.caller(host), "-", path).await.ok()?;
+        let ready = answer.status.is_success().then_some(answer.body)?;
+        serde_json::from_slice::<serde_json::Value>(&ready).ok()?["version"].as_u64()
+    }
+
+    /// Waits until hosts serve a version, at most for `bound`.
+    pub async fn until_in_force(&self, version: u64, bound: Duration, hosts: Range<u16>) {
+        let started = Instant::now();
+        for host in hosts {
+            while self.ready_version(host).await != Some(version) {
+                assert!(started.elapsed() < bound, "version {version} not in force on {host}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
     /// How many hosts the entry daemon of a host knows to take callers.
     pub async fn live_hosts(&self, host: u16) -> usize {
         let path = "/.well-known/oleanderspan/ready";
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -297,8 +297,15 @@
     HttpError::for_client_error(Some(code.to_owned()), status, reason)
 }
 
+/// An error whose reason the operator reads; dropshot's own form keeps it in the log.
 fn unavailable_for(code: &str, reason: String) -> HttpError {
-    HttpError::for_unavail(Some(code.to_owned()), reason)
+    HttpError {
+        status_code: dropshot::ErrorStatusCode::SERVICE_UNAVAILABLE,
+        error_code: Some(code.to_owned()),
+        internal_message: reason.clone(),
+        external_message: reason,
+        headers: None,
+    }
 }
 
 fn invalid(reason: String) -> HttpError {
@@ -310,5 +317,5 @@
 }
 
 fn unavailable(error: crate::control::state::Error) -> HttpError {
-    HttpError::for_unavail(Some("away".to_owned()), error.to_string())
+    unavailable_for("away", error.to_string())
 }
--- a/crates/node/src/control/parts.rs
+++ b/crates/node/src/control/parts.rs
@@ -124,7 +124,7 @@
     pub fn whole(&self, environment: &str) -> Result<raw::Document, Error> {
         let mut document = self.without_blocks(environment)?;
         for bucket in self.buckets(self.manifest()?.blocks)? {
-            document.blocks.append(&mut self.read(&bucket)?);
+            document.blocks.extend(self.read::<BTreeMap<String, String>>(&bucket)?);
         }
         Ok(document)
     }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -26,7 +26,7 @@
 
 /// The time after a start in which a host hears of every peer that answers; until then a peer
 /// that is behind could show it less than it had in force before.
-const LEARN_TIME: Duration = Duration::from_secs(2);
+const LEARN_TIME: Duration = Duration::from_secs(3);
 
 /// Events that are kept in memory.
 const MAX_EVENTS: usize = 10_000;
