Tell operators of every fault, every host and every event

Cause: check stopped at the first structural fault, status and timeline had to be given every host, nothing showed what a document would move, events of entry daemons and of hosts that were replaced were lost. Conclusion: the operator's command answers from one control address.

--- /dev/null
+++ b/crates/cli/src/command/propose.rs
@@ -0,0 +1,36 @@
+//! `propose`: a document for its environment.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use argh::FromArgs;
+use oleanderspan_node::control::operator::Proposal;
+
+use super::{Failure, accept, load, operation};
+
+/// Propose a document for its environment.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "propose")]
+pub(super) struct Propose {
+    /// the operator interface of any host
+    #[argh(option)]
+    control: SocketAddr,
+    /// the version that you saw in force; 0 for the first document
+    #[argh(option)]
+    base: u64,
+    /// operation id; repeat a command with the id it printed to learn its outcome
+    #[argh(option)]
+    operation: Option<String>,
+    /// the document
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+impl Propose {
+    pub(super) async fn run(&self) -> Result<(), Failure> {
+        let document = load(&self.file)?;
+        let path = format!("/v1/environments/{}/proposals", document.environment);
+        let operation = operation(&self.operation);
+        let proposal = Proposal { base: self.base, operation, document };
+        accept(self.control, &path, &proposal).await
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/status.rs
@@ -0,0 +1,37 @@
+//! `status`: what is in force on every host.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use oleanderspan_node::control::operator::HostReport;
+
+use super::Failure;
+use crate::interface::Interface;
+
+/// Show what is in force on every host; the host that is asked asks the others.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+pub(super) struct Status {
+    /// the operator interface of any host
+    #[argh(option)]
+    control: SocketAddr,
+}
+
+impl Status {
+    pub(super) async fn run(&self) -> Result<(), Failure> {
+        let reports: Vec<HostReport> = Interface::new(self.control).get("/v1/hosts").await?;
+        for report in &reports {
+            println!("{}", line(report));
+        }
+        Ok(())
+    }
+}
+
+fn line(report: &HostReport) -> String {
+    let name = report.name.as_deref().unwrap_or(&report.address);
+    let zone = report.zone.as_deref().unwrap_or("-");
+    match report.version {
+        Some(version) => format!("{name} {zone} {} version {version}", report.state),
+        None => format!("{name} {zone} {} (no answer)", report.state),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/timeline.rs
@@ -0,0 +1,51 @@
+//! `timeline`: the merged time line of all processes.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use oleanderspan_node::control::operator::{self, TimelineEvent};
+
+use super::Failure;
+use crate::interface::Interface;
+
+/// Show the time line of all hosts, merged; the host that is asked asks the others.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "timeline")]
+pub(super) struct Timeline {
+    /// the operator interface of any host
+    #[argh(option)]
+    control: SocketAddr,
+    /// only events from this time on, as printed: 2026-01-31T12:00 for example
+    #[argh(option)]
+    since: Option<String>,
+    /// only events of this kind, such as in-force
+    #[argh(option)]
+    kind: Option<String>,
+    /// only events of processes whose name starts so, such as ro-sud-a1
+    #[argh(option)]
+    process: Option<String>,
+    /// merge the stored events of this many hours as well
+    #[argh(option, default = "0")]
+    stored_hours: u32,
+}
+
+impl Timeline {
+    pub(super) async fn run(&self) -> Result<(), Failure> {
+        let path = format!("/v1/timeline?stored_hours={}", self.stored_hours);
+        let timeline: operator::Timeline = Interface::new(self.control).get(&path).await?;
+        for event in timeline.events.iter().filter(|event| self.wants(event)) {
+            let TimelineEvent { time, process, kind, subject, detail, .. } = event;
+            println!("{}", format!("{time} {process} {kind} {subject} {detail}").trim_end());
+        }
+        for address in timeline.silent {
+            eprintln!("no answer from {address}; its recent events are missing");
+        }
+        Ok(())
+    }
+
+    fn wants(&self, event: &TimelineEvent) -> bool {
+        self.since.as_ref().is_none_or(|since| event.time >= *since)
+            && self.kind.as_ref().is_none_or(|kind| event.kind == *kind)
+            && self.process.as_ref().is_none_or(|process| event.process.starts_with(process))
+    }
+}
--- a/crates/cli/src/interface.rs
+++ b/crates/cli/src/interface.rs
@@ -13,6 +13,8 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::Exit;
+
 /// Longest time to wait for an answer.
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -27,6 +29,7 @@
 #[derive(Debug, Default, Deserialize)]
 struct Problem {
     error_code: Option<String>,
+    #[serde(alias = "detail")]
     message: String,
 }
 
@@ -36,9 +39,13 @@
         Interface { client: Client::new(Protocol::Http1), address }
     }
 
-    /// Asks for a value.
+    /// Asks for a value; a question changes nothing, so that its outcome is never unknown.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        self.call(Method::GET, path, Bytes::new()).await
+        let answer = self.call(Method::GET, path, Bytes::new()).await;
+        answer.map_err(|error| match error {
+            Error::Unknown(reason) => Error::Refused(reason),
+            error => error,
+        })
     }
 
     /// Sends a value and reads the answer.
@@ -89,6 +96,16 @@
     Protocol(String),
 }
 
+impl Error {
+    /// How a command ends that met this error.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Error::Refused(_) => Exit::Refused,
+            Error::Unknown(_) | Error::Protocol(_) => Exit::Unknown,
+        }
+    }
+}
+
 impl From<client::Error> for Error {
     fn from(error: client::Error) -> Error {
         match error {
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -143,6 +143,13 @@
         Rows { rows: found.map(|(_, row)| row.clone()).collect() }
     }
 
+    fn names(&self, prefix: &str) -> Vec<String> {
+        let mut inner = self.lock();
+        inner.counts.objects += 1;
+        let found = inner.objects.range(prefix.to_owned()..);
+        found.map(|(name, _)| name.clone()).take_while(|name| name.starts_with(prefix)).collect()
+    }
+
     fn list(&self) -> List {
         let mut inner = self.lock();
         inner.counts.lists += 1;
@@ -174,6 +181,9 @@
         if let Some(prefix) = path.strip_prefix("/v1/table/scan/") {
             return json(StatusCode::OK, &self.scan(prefix));
         }
+        if let Some(prefix) = path.strip_prefix("/v1/names/") {
+            return json(StatusCode::OK, &self.names(prefix));
+        }
         let Some(name) = path.strip_prefix("/v1/objects/") else {
             return status(StatusCode::NOT_FOUND);
         };
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -10,9 +10,12 @@
 pub mod publication;
 pub mod source;
 pub mod state;
+pub mod survey;
+pub mod timeline;
 
 use std::io;
 
+use oleanderspan::event::Kind;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -33,10 +36,13 @@
         tokio::spawn(listing::watch(state.clone())),
         tokio::spawn(exchange::run(state.clone())),
         tokio::spawn(publication::run(state.clone())),
+        tokio::spawn(timeline::run(state.clone())),
     ];
     server::serve(peers, exchange::Peer(state.clone()), stop).await;
+    state.record(Kind::Stopping, "", "");
     for task in &tasks {
         task.abort();
     }
+    timeline::flush(&state).await;
     operators.close().await.map_err(io::Error::other)
 }
--- a/crates/node/src/control/acceptance.rs
+++ b/crates/node/src/control/acceptance.rs
@@ -3,6 +3,8 @@
 //! Parts go to the object store first, then one conditional write moves the environment's
 //! record. A write whose answer was lost is settled by reading back.
 
+use std::fmt;
+
 use bytes::Bytes;
 use futures_util::{StreamExt, TryStreamExt, stream};
 use oleanderspan::{
@@ -53,6 +55,23 @@
     Unknown(String),
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Outcome::Settled(record::Verdict::Accepted(version)) => {
+                write!(f, "accepted as version {version}")
+            }
+            Outcome::Settled(record::Verdict::Raced(version)) => {
+                write!(f, "version {version} is in force")
+            }
+            Outcome::Settled(record::Verdict::Reused(version)) => {
+                write!(f, "the operation id belongs to another document, version {version}")
+            }
+            Outcome::Away(reason) | Outcome::Unknown(reason) => f.write_str(reason),
+        }
+    }
+}
+
 /// Follows the environment's record for ever.
 pub async fn watch(state: State) {
     loop {
@@ -152,7 +171,7 @@
                 state.take_over(Shown { version: *version, document: parts.root() }, parts)?;
             }
         }
-        other => state.record(Kind::Refused, detail, format!("{other:?}")),
+        other => state.record(Kind::Refused, detail, other.to_string()),
     }
     Ok(outcome)
 }
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     codec,
-    control::{State, parts, source, state::Peer as Heard},
+    control::{State, parts, source, state::Peer as Heard, timeline},
     entry::feed::POLL_LIMIT,
     http::{Body, server::Handler},
     wire,
@@ -79,7 +79,8 @@
     take_over(state, answer).await
 }
 
-fn message(state: &State) -> wire::Exchange {
+/// What this host tells others of itself.
+pub fn message(state: &State) -> wire::Exchange {
     let from = state.own_host();
     let inner = state.lock();
     let accepted = inner.accepted.as_ref();
@@ -138,6 +139,8 @@
         };
         match (&head.method, path) {
             (&Method::POST, "/exchange") => self.exchange(&body.to_bytes()).await,
+            (&Method::GET, "/status") => wire(&message(&self.0)),
+            (&Method::GET, "/events") => self.events(),
             (&Method::POST, "/parts") => self.parts(&body.to_bytes()),
             (&Method::POST, "/observe") => self.observe(&body.to_bytes()),
             _ => status(StatusCode::NOT_FOUND),
@@ -160,6 +163,12 @@
         status(StatusCode::NO_CONTENT)
     }
 
+    /// Answers with the recent events of this host.
+    fn events(&self) -> Response<Body> {
+        let events = self.0.lock().journal.recent();
+        wire(&events.iter().map(wire::Happening::from).collect::<Vec<_>>())
+    }
+
     /// Answers with parts of the document in force.
     fn parts(&self, body: &[u8]) -> Response<Body> {
         let Ok(hashes) = codec::from_wire::<Vec<Hash>>(body) else {
@@ -194,6 +203,7 @@
         for (name, incarnation) in &observation.leaving {
             self.0.note_leaving(name, *incarnation);
         }
+        timeline::take_over(&self.0, observation.events);
         status(StatusCode::NO_CONTENT)
     }
 }
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -2,7 +2,7 @@
 
 use dropshot::{
     ApiDescription, ConfigDropshot, HttpError, HttpResponseCreated, HttpResponseOk, HttpServer,
-    Path, RequestContext, ServerBuilder, TypedBody, endpoint,
+    Path, Query, RequestContext, ServerBuilder, TypedBody, endpoint,
 };
 use oleanderspan::{
     document::{self, Draft, Verdict, Version, raw},
@@ -12,14 +12,21 @@
 use serde::{Deserialize, Serialize};
 use slog::o;
 
-use crate::control::{
-    State,
-    acceptance::{self, Outcome},
+use crate::{
+    control::{
+        State,
+        acceptance::{self, Outcome},
+        exchange, survey, timeline,
+    },
+    wire,
 };
 
 /// The largest document that can be proposed.
 const MAX_DOCUMENT_BYTES: usize = 64 << 20;
 
+/// The most hours of stored events in one answer.
+const MAX_STORED_HOURS: u32 = 7 * 24;
+
 /// An environment in a path.
 #[derive(Debug, Deserialize, JsonSchema)]
 struct EnvironmentPath {
@@ -111,6 +118,8 @@
 pub struct TimelineEvent {
     /// Hybrid logical time; it sorts like the events.
     pub stamp: u64,
+    /// The time of the host's clock, in UTC.
+    pub time: String,
     /// The process.
     pub process: String,
     /// What happened.
@@ -121,6 +130,68 @@
     pub detail: String,
 }
 
+/// The merged time line.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Timeline {
+    /// The events in their order.
+    pub events: Vec<TimelineEvent>,
+    /// Peer addresses of hosts that did not answer; their recent events are missing.
+    pub silent: Vec<String>,
+}
+
+/// Which part of the time line is wanted.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct TimelineQuery {
+    /// Merge the stored events of this many hours as well.
+    stored_hours: Option<u32>,
+}
+
+/// What is in force on one host.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct HostReport {
+    /// Its name, if it is known.
+    pub name: Option<String>,
+    /// Its zone, if it is known.
+    pub zone: Option<String>,
+    /// Its state as it says itself, or `silent` if it did not answer.
+    pub state: String,
+    /// Its peer address.
+    pub address: String,
+    /// The version in force, if it answered.
+    pub version: Option<u64>,
+    /// The content hash of the document in force.
+    pub document: Option<String>,
+}
+
+impl From<wire::Exchange> for HostReport {
+    fn from(exchange: wire::Exchange) -> HostReport {
+        HostReport {
+            state: format!("{:?}", exchange.from.state).to_lowercase(),
+            name: Some(exchange.from.name),
+            zone: Some(exchange.from.zone),
+            address: exchange.from.peer_address.to_string(),
+            version: Some(exchange.version),
+            document: exchange.document.map(|document| document.to_string()),
+        }
+    }
+}
+
+impl HostReport {
+    /// The report of a host that did not answer, with what others told of it.
+    fn silent(state: &State, address: SocketAddr) -> HostReport {
+        let inner = state.lock();
+        let known = inner.hosts.values().find(|peer| peer.host.peer_address == address);
+        HostReport {
+            name: known.map(|peer| peer.host.name.clone()),
+            zone: known.map(|peer| peer.host.zone.clone()),
+            state: "silent".to_owned(),
+            address: address.to_string(),
+            version: None,
+            document: None,
+        }
+    }
+}
+
 /// Starts the interface.
 pub fn serve(state: State) -> Result<HttpServer<State>, String> {
     let config = ConfigDropshot {
@@ -142,6 +213,7 @@
         api.register(get_operations),
         api.register(propose),
         api.register(promote),
+        api.register(get_hosts),
         api.register(get_timeline),
     ];
     registered.into_iter().collect::<Result<Vec<()>, _>>().map_err(|error| error.to_string())?;
@@ -251,21 +323,42 @@
     conclude(acceptance::advance(state, &environment, &proposal, parts).await.map_err(unavailable)?)
 }
 
-/// The recent events that this process recorded.
+/// What is in force on all hosts; this one asks them.
+#[endpoint { method = GET, path = "/v1/hosts" }]
+async fn get_hosts(
+    context: RequestContext<State>,
+) -> Result<HttpResponseOk<Vec<HostReport>>, HttpError> {
+    let state = context.context();
+    let mut reports = vec![HostReport::from(exchange::message(state))];
+    for answer in survey::ask_all::<wire::Exchange>(state, "/status").await {
+        reports.push(match answer.value {
+            Some(exchange) => HostReport::from(exchange),
+            None => HostReport::silent(state, answer.address),
+        });
+    }
+    reports.sort_by(|a, b| (&a.name, &a.address).cmp(&(&b.name, &b.address)));
+    Ok(HttpResponseOk(reports))
+}
+
+/// The time line of all hosts, merged.
 #[endpoint { method = GET, path = "/v1/timeline" }]
 async fn get_timeline(
     context: RequestContext<State>,
-) -> Result<HttpResponseOk<Vec<TimelineEvent>>, HttpError> {
-    let state = context.context();
-    let inner = state.lock();
-    let events = inner.events.iter().map(|event| TimelineEvent {
+    query: Query<TimelineQuery>,
+) -> Result<HttpResponseOk<Timeline>, HttpError> {
+    let hours = query.into_inner().stored_hours.unwrap_or(0).min(MAX_STORED_HOURS);
+    let merged = timeline::merged(context.context(), hours.into()).await;
+    let merged = merged.map_err(|error| unavailable(error.into()))?;
+    let events = merged.events.iter().map(|event| TimelineEvent {
         stamp: event.stamp.get(),
+        time: timeline::readable(event.stamp),
         process: event.process.to_string(),
         kind: event.kind.to_string(),
         subject: event.subject.clone(),
         detail: event.detail.clone(),
     });
-    Ok(HttpResponseOk(events.collect()))
+    let silent = merged.silent.iter().map(ToString::to_string);
+    Ok(HttpResponseOk(Timeline { events: events.collect(), silent: silent.collect() }))
 }
 
 async fn record(
@@ -277,18 +370,15 @@
 }
 
 fn conclude(outcome: Outcome) -> Result<HttpResponseCreated<Acceptance>, HttpError> {
-    let verdict = match outcome {
-        Outcome::Settled(verdict) => verdict,
-        Outcome::Away(reason) => return Err(unavailable_for("away", reason)),
-        Outcome::Unknown(reason) => return Err(unavailable_for("unknown", reason)),
-    };
-    match verdict {
-        Verdict::Accepted(version) => Ok(HttpResponseCreated(Acceptance { version: version.0 })),
-        Verdict::Raced(version) => Err(conflict("raced", format!("version {version} is in force"))),
-        Verdict::Reused(version) => {
-            let reason = format!("the operation id belongs to another document, version {version}");
-            Err(conflict("reused", reason))
+    let reason = outcome.to_string();
+    match outcome {
+        Outcome::Settled(Verdict::Accepted(version)) => {
+            Ok(HttpResponseCreated(Acceptance { version: version.0 }))
         }
+        Outcome::Settled(Verdict::Raced(_)) => Err(conflict("raced", reason)),
+        Outcome::Settled(Verdict::Reused(_)) => Err(conflict("reused", reason)),
+        Outcome::Away(_) => Err(unavailable_for("away", reason)),
+        Outcome::Unknown(_) => Err(unavailable_for("unknown", reason)),
     }
 }
 
--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    clock::wall_millis,
     control::{
         State,
         state::{Accepted, Inner},
@@ -37,7 +38,8 @@
     let Some(accepted) = inner.accepted.clone() else { return };
     move_shares(&mut inner, &accepted, now);
     let sequence = inner.snapshot.as_ref().map_or(0, |snapshot| snapshot.sequence);
-    let next = compose(&inner, &accepted, own, sequence + 1);
+    let mut next = compose(&inner, &accepted, own, sequence + 1);
+    next.stamp = state.hybrid.tick(wall_millis()).get();
     if inner.snapshot.as_ref().is_none_or(|last| differs(last, &next)) {
         inner.snapshot = Some(Arc::new(next));
     }
@@ -73,6 +75,7 @@
     });
     wire::Snapshot {
         sequence,
+        stamp: 0,
         version: accepted.version.0,
         blocks: accepted.blocks,
         servers: servers.collect(),
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,9 +1,6 @@
 //! What the tasks of the control daemon share.
 
-use std::{
-    collections::VecDeque,
-    sync::{Mutex, MutexGuard, PoisonError},
-};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use oleanderspan::{
     document::{self, Draft, Hash, Lesson, Shown, Standing, Version, raw},
@@ -17,7 +14,10 @@
 use crate::{
     clock::{Monotonic, wall_millis},
     codec,
-    control::parts::{self, Parts, Source},
+    control::{
+        parts::{self, Parts, Source},
+        timeline::Journal,
+    },
     http::client::{Client, Protocol},
     settings::Settings,
     store::{self, Store},
@@ -28,9 +28,6 @@
 /// that is behind could show it less than it had in force before.
 const LEARN_TIME: Duration = Duration::from_secs(3);
 
-/// Events that are kept in memory.
-const MAX_EVENTS: usize = 10_000;
-
 /// What the tasks share; cloning it is cheap.
 #[derive(Clone, Debug)]
 pub struct State(Arc<Shared>);
@@ -123,8 +120,8 @@
     pub shares: Map<String, Vec<Slew>>,
     /// The latest snapshot for the entry daemon.
     pub snapshot: Option<Arc<wire::Snapshot>>,
-    /// Recent events of this process.
-    pub events: VecDeque<Event>,
+    /// Events of this host.
+    pub journal: Journal,
 }
 
 impl std::ops::Deref for State {
@@ -174,11 +171,7 @@
         };
         info!(self.log, "event"; "kind" => kind.as_str(), "subject" => &event.subject,
             "detail" => &event.detail);
-        let mut inner = self.lock();
-        if inner.events.len() == MAX_EVENTS {
-            inner.events.pop_front();
-        }
-        inner.events.push_back(event);
+        self.lock().journal.add(event);
     }
 
     /// The document in force.
--- /dev/null
+++ b/crates/node/src/control/timeline.rs
@@ -0,0 +1,206 @@
+//! The time line: events of this host's processes, kept in memory, stored in batches, and merged
+//! over all hosts on demand; see `docs/operators/timeline.md`.
+
+use std::collections::VecDeque;
+
+use futures_util::{StreamExt, stream};
+use oleanderspan::{
+    event::{self, Event, Stamp},
+    prelude::*,
+};
+use slog::{debug, warn};
+
+use crate::{
+    clock::wall_millis,
+    codec,
+    control::{State, source::MAX_OBJECTS_AT_ONCE, survey},
+    store, wire,
+};
+
+/// Recent events that are kept in memory.
+const MAX_RECENT: usize = 10_000;
+
+/// Events that wait for the store; more are dropped, the oldest first.
+const MAX_UNSAVED: usize = 10_000;
+
+/// The most events in one batch.
+const MAX_BATCH: usize = 2_000;
+
+/// The mean time between two batches, which bounds the writes of a host.
+const BATCH_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Milliseconds in the hour that names a folder of batches.
+const HOUR_MILLIS: u64 = 3_600_000;
+
+/// The events of a host.
+#[derive(Debug, Default)]
+pub struct Journal {
+    recent: VecDeque<Event>,
+    unsaved: VecDeque<Event>,
+    dropped: u64,
+    batches: u64,
+}
+
+/// Events that are stored together; a repetition has the same name and content.
+#[derive(Clone, Debug)]
+struct Batch {
+    name: String,
+    bytes: Vec<u8>,
+}
+
+/// The time line as far as it could be had.
+#[derive(Debug)]
+pub struct Merged {
+    /// The events in their order.
+    pub events: Vec<Event>,
+    /// Peers that did not answer.
+    pub silent: Vec<SocketAddr>,
+}
+
+impl Journal {
+    /// Keeps an event.
+    pub fn add(&mut self, event: Event) {
+        if self.recent.len() == MAX_RECENT {
+            self.recent.pop_front();
+        }
+        if self.unsaved.len() == MAX_UNSAVED {
+            self.unsaved.pop_front();
+            self.dropped += 1;
+        }
+        self.recent.push_back(event.clone());
+        self.unsaved.push_back(event);
+    }
+
+    /// Recent events.
+    pub fn recent(&self) -> Vec<Event> {
+        self.recent.iter().cloned().collect()
+    }
+
+    /// Events that were dropped before they could be stored.
+    pub const fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    fn next_batch(&mut self, folder: &str) -> Option<Batch> {
+        if self.unsaved.is_empty() {
+            return None;
+        }
+        let count = self.unsaved.len().min(MAX_BATCH);
+        let events: Vec<wire::Happening> =
+            self.unsaved.drain(..count).map(|event| wire::Happening::from(&event)).collect();
+        self.batches += 1;
+        let name = format!("{folder}-{}", self.batches);
+        Some(Batch { name, bytes: codec::to_wire(&events).ok()? })
+    }
+}
+
+/// Stores batches for ever; while the store is away one batch waits and further events gather.
+pub async fn run(state: State) {
+    let mut waiting = None;
+    loop {
+        let jitter = rand::random_range(0.75..1.25);
+        tokio::time::sleep(BATCH_INTERVAL.mul_f64(jitter)).await;
+        waiting = save(&state, waiting).await;
+    }
+}
+
+/// Stores what is left at a planned stop.
+pub async fn flush(state: &State) {
+    if save(state, None).await.is_some() {
+        warn!(state.log, "the last events were not stored");
+    }
+}
+
+/// Stores the batch that waits or the next one; returns it if it has to wait.
+async fn save(state: &State, waiting: Option<Batch>) -> Option<Batch> {
+    let batch = waiting.or_else(|| next_batch(state))?;
+    match state.store.put(&batch.name, batch.bytes.clone()).await {
+        Ok(()) => None,
+        Err(error) => {
+            let dropped = state.lock().journal.dropped();
+            debug!(state.log, "events not stored"; "error" => %error, "dropped" => dropped);
+            Some(batch)
+        }
+    }
+}
+
+fn next_batch(state: &State) -> Option<Batch> {
+    let hour = folder(state, wall_millis() / HOUR_MILLIS);
+    let folder = format!("{hour}{}-{}", state.settings.host.name, state.incarnation);
+    state.lock().journal.next_batch(&folder)
+}
+
+fn folder(state: &State, hour: u64) -> String {
+    format!("timeline/{}/{hour}/", state.settings.environment)
+}
+
+/// Keeps events that the own entry daemon sent.
+pub fn take_over(state: &State, events: Vec<wire::Happening>) {
+    for event in events.into_iter().filter_map(|event| Event::try_from(event).ok()) {
+        state.hybrid.observe(event.stamp);
+        state.lock().journal.add(event);
+    }
+}
+
+/// Merges the recent events of all hosts, and the batches of the last `stored_hours`.
+pub async fn merged(state: &State, stored_hours: u64) -> Result<Merged, store::Error> {
+    let answers = survey::ask_all::<Vec<wire::Happening>>(state, "/events").await;
+    let mut merged = Merged { events: Vec::new(), silent: Vec::new() };
+    let mut batches = vec![state.lock().journal.recent()];
+    for answer in answers {
+        match answer.value {
+            Some(events) => batches.push(checked(events)),
+            None => merged.silent.push(answer.address),
+        }
+    }
+    let now = wall_millis() / HOUR_MILLIS;
+    for hour in (now + 1).saturating_sub(stored_hours)..=now {
+        if stored_hours > 0 {
+            batches.append(&mut stored(state, hour).await?);
+        }
+    }
+    merged.events = event::merge(batches);
+    Ok(merged)
+}
+
+async fn stored(state: &State, hour: u64) -> Result<Vec<Vec<Event>>, store::Error> {
+    let names = state.store.names(&folder(state, hour)).await?;
+    let read = stream::iter(names).map(async |name| state.store.get(&name).await);
+    let found: Vec<_> = read.buffered(MAX_OBJECTS_AT_ONCE).collect().await;
+    let mut batches = Vec::new();
+    for bytes in found {
+        let Some(bytes) = bytes? else { continue };
+        batches.push(checked(codec::from_wire(&bytes)?));
+    }
+    Ok(batches)
+}
+
+/// Events that this build knows; others are left out.
+fn checked(events: Vec<wire::Happening>) -> Vec<Event> {
+    events.into_iter().filter_map(|event| Event::try_from(event).ok()).collect()
+}
+
+/// The time of a stamp as people write it, in UTC.
+pub fn readable(stamp: Stamp) -> String {
+    let (seconds, millis) = (stamp.millis() / 1_000, stamp.millis() % 1_000);
+    let (days, second) = (seconds / 86_400, seconds % 86_400);
+    let (year, month, day) = civil(days);
+    let (hour, minute) = (second / 3_600, second / 60 % 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{:02}.{millis:03}Z", second % 60)
+}
+
+/// The date `days` after the first of January 1970, in the Gregorian calendar.
+const fn civil(days: u64) -> (u64, u64, u64) {
+    // Years begin in March here, so that the leap day is the last one.
+    let days = days + 719_468;
+    let era = days / 146_097;
+    let day_of_era = days % 146_097;
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted + 2) / 5 + 1;
+    let month = if shifted < 10 { shifted + 3 } else { shifted - 9 };
+    let year = year_of_era + era * 400;
+    (if month <= 2 { year + 1 } else { year }, month, day)
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -27,7 +27,7 @@
 /// Loads the settings, or says why the process ends.
 pub fn load(arguments: &Arguments) -> Result<Settings, ExitCode> {
     let settings = Settings::load(&arguments.settings).map_err(|error| {
-        eprintln!("{}: {error}", arguments.settings.display());
+        eprintln!("{}:\n{error}", arguments.settings.display());
         ExitCode::from(EXIT_USAGE)
     })?;
     if arguments.check_settings {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,6 +13,7 @@
 
 use std::io;
 
+use oleanderspan::event::Kind;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -29,6 +30,7 @@
         "relays" => %settings.entry.relay_address);
     let state = State::start(&settings, log)?;
     let counts = tokio::spawn(send_counts(state.clone()));
+    state.record(Kind::Started, "", "");
     let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
     // Other hosts relay to this one until they learn that it leaves, so the relay port stays
     // open until the callers of this host are served.
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -145,7 +145,7 @@
     server.mark_leaving();
     let identity = &server.identity;
     let leaving = vec![(identity.name.to_string(), identity.incarnation)];
-    state.observe(wire::Observation { leaving });
+    state.observe(wire::Observation { leaving, ..wire::Observation::default() });
 }
 
 fn answer_of(answer: Response<Incoming>, lease: Lease) -> Answer {
--- a/crates/node/src/entry/feed.rs
+++ b/crates/node/src/entry/feed.rs
@@ -10,12 +10,13 @@
     availability, backend, caller,
     document::{self, raw},
     entry::{self, Host},
+    event::{Kind, Stamp},
     prelude::*,
     service,
     shift::{self, Vector},
     snapshot,
 };
-use slog::{info, warn};
+use slog::warn;
 
 use crate::{
     codec,
@@ -49,17 +50,24 @@
     }
 }
 
-/// Sends observations to the control daemon; what cannot be sent is seen again or lost.
+/// Sends observations to the control daemon, each until it has taken it; those that do not fit
+/// the queue meanwhile are dropped.
 async fn report(state: State, control: SocketAddr) {
     while let Some(observation) = state.next_observation().await {
-        let Ok(body) = codec::to_wire(&observation) else { continue };
-        let request =
-            Request::post(format!("http://{control}/observe")).body(Body::from(Bytes::from(body)));
-        let Ok(request) = request else { return };
-        let _ = state.control.call(request, POLL_LIMIT).await;
+        let Ok(body) = codec::to_wire(&observation).map(Bytes::from) else { continue };
+        while !is_taken(&state, control, body.clone()).await {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
     }
 }
 
+async fn is_taken(state: &State, control: SocketAddr, body: Bytes) -> bool {
+    let request = Request::post(format!("http://{control}/observe")).body(Body::from(body));
+    let Ok(request) = request else { return false };
+    let answered = state.control.call(request, POLL_LIMIT).await;
+    answered.is_ok_and(|(status, _)| status.is_success())
+}
+
 struct Feed {
     control: SocketAddr,
     seen: u64,
@@ -93,11 +101,12 @@
         let draft = document::Draft::try_from(&raw.document)?;
         let blocks = self.blocks(state, &raw).await?;
         self.seen = raw.sequence;
+        state.hybrid.observe(Stamp::from_number(raw.stamp));
         let prior = state.snapshot();
         let changed = prior.as_ref().is_none_or(|prior| prior.version.0 != raw.version);
         let input = input(raw, draft, blocks, &state.name)?;
         if changed {
-            info!(state.log, "document in force"; "version" => input.version.0);
+            state.record(Kind::InForce, input.version.to_string(), "");
         }
         state.publish(Snapshot::new(input, prior.as_deref()));
         Ok(())
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -4,13 +4,17 @@
 
 use arc_swap::ArcSwapOption;
 use cadence::StatsdClient;
-use oleanderspan::{entry, snapshot};
-use slog::Logger;
+use oleanderspan::{
+    entry,
+    event::{Event, Hybrid, Kind},
+    snapshot,
+};
+use slog::{Logger, info};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock::Monotonic,
+    clock::{Monotonic, wall_millis},
     entry::{counters::Counters, slot},
     http::client::{Client, Protocol},
     metrics,
@@ -48,6 +52,9 @@
     pub metrics: Arc<StatsdClient>,
     /// What requests count.
     pub counters: Counters,
+    /// The clock of events.
+    pub hybrid: Hybrid,
+    process: Arc<str>,
     snapshot: ArcSwapOption<Snapshot>,
     observed: mpsc::Sender<wire::Observation>,
     observations: tokio::sync::Mutex<mpsc::Receiver<wire::Observation>>,
@@ -75,6 +82,8 @@
             metrics: metrics::start(settings.metrics.as_ref())?,
             counters: Counters::new(),
             log,
+            hybrid: Hybrid::default(),
+            process: format!("{}/entry", settings.host.name).into(),
             snapshot: ArcSwapOption::empty(),
             observed,
             observations: tokio::sync::Mutex::new(observations),
@@ -84,10 +93,11 @@
 
     /// Closes the caller port once `stop` was asked for.
     pub async fn drain_after(&self, stop: CancellationToken) {
-        let closed = self.closed.clone();
+        let state = self.clone();
         tokio::spawn(async move {
             stop.cancelled().await;
-            closed.cancel();
+            state.record(Kind::Stopping, "", "");
+            state.closed.cancel();
         });
     }
 
@@ -113,6 +123,21 @@
         let _ = self.observed.try_send(observation);
     }
 
+    /// Records an event in the time line and in the log.
+    pub fn record(&self, kind: Kind, subject: impl Into<String>, detail: impl Into<String>) {
+        let event = Event {
+            stamp: self.hybrid.tick(wall_millis()),
+            process: Arc::clone(&self.process),
+            kind,
+            subject: subject.into(),
+            detail: detail.into(),
+        };
+        info!(self.log, "event"; "kind" => kind.as_str(), "subject" => &event.subject,
+            "detail" => &event.detail);
+        let events = vec![wire::Happening::from(&event)];
+        self.observe(wire::Observation { events, ..wire::Observation::default() });
+    }
+
     /// The next observation for the control daemon.
     pub async fn next_observation(&self) -> Option<wire::Observation> {
         self.observations.lock().await.recv().await
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+pub mod schema;
 pub mod settings;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/crates/node/src/schema.rs
@@ -0,0 +1,106 @@
+//! JSON Schemas of what people write, and every structural fault of a text at once.
+
+use std::fmt::Write;
+
+use jsonschema::{ValidationError, error::ValidationErrorKind, paths::LocationSegment};
+use oleanderspan::document::{self, Draft, Fault, raw};
+use schemars::{JsonSchema, schema::RootSchema, schema_for};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::{codec, settings};
+
+/// The longest reason of one fault, in characters.
+const MAX_REASON: usize = 200;
+
+/// The schema of documents.
+pub fn of_documents() -> RootSchema {
+    schema_for!(raw::Document)
+}
+
+/// The schema of settings.
+pub fn of_settings() -> RootSchema {
+    schema_for!(settings::Raw)
+}
+
+/// Reads a document and checks it whole.
+pub fn read_document(bytes: &[u8]) -> Result<raw::Document, document::Error> {
+    let raw = read(bytes, of_documents())?;
+    Draft::try_from(&raw)?;
+    Ok(raw)
+}
+
+/// Reads a value; an error names every place where it differs from its schema.
+pub fn read<T: DeserializeOwned + JsonSchema>(
+    bytes: &[u8],
+    schema: RootSchema,
+) -> Result<T, document::Error> {
+    let value: Value = codec::from_json(bytes).map_err(single)?;
+    let faults = faults(&value, schema);
+    if !faults.is_empty() {
+        return Err(document::Error { faults });
+    }
+    codec::from_json(bytes).map_err(single)
+}
+
+fn single(error: codec::Error) -> document::Error {
+    let fault = match error {
+        codec::Error::Decode { path, reason } => Fault { path, reason },
+        codec::Error::Encode(reason) => Fault { path: ".".to_owned(), reason },
+    };
+    document::Error { faults: vec![fault] }
+}
+
+fn faults(value: &Value, schema: RootSchema) -> Vec<Fault> {
+    let schema = serde_json::to_value(schema).unwrap_or_default();
+    let validator = match jsonschema::validator_for(&schema) {
+        Ok(validator) => validator,
+        Err(error) => return vec![Fault { path: ".".to_owned(), reason: error.to_string() }],
+    };
+    let mut faults: Vec<Fault> = validator.iter_errors(value).flat_map(|e| explain(&e)).collect();
+    faults.sort_by(|a, b| a.path.cmp(&b.path));
+    faults
+}
+
+/// One fault for each key that is unknown or missing, and one for any other error.
+fn explain(error: &ValidationError<'_>) -> Vec<Fault> {
+    let mut path = String::new();
+    for segment in error.instance_path() {
+        match segment {
+            LocationSegment::Property(name) => push_key(&mut path, &name),
+            LocationSegment::Index(i) => {
+                let _ = write!(path, "[{i}]");
+            }
+        }
+    }
+    let under = |key: &str, reason: &str| {
+        let mut path = path.clone();
+        push_key(&mut path, key);
+        Fault { path, reason: reason.to_owned() }
+    };
+    match error.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => {
+            unexpected.iter().map(|key| under(key, "unknown key")).collect()
+        }
+        ValidationErrorKind::Required { property } => {
+            vec![under(property.as_str().unwrap_or_default(), "missing")]
+        }
+        _ => {
+            let reason: String = error.to_string().chars().take(MAX_REASON).collect();
+            vec![Fault { path: if path.is_empty() { ".".to_owned() } else { path }, reason }]
+        }
+    }
+}
+
+/// Appends a key, in brackets if it has characters that no name has.
+fn push_key(path: &mut String, key: &str) {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '-';
+    if !key.chars().all(is_plain) {
+        let _ = write!(path, "[{key:?}]");
+        return;
+    }
+    if !path.is_empty() {
+        path.push('.');
+    }
+    path.push_str(key);
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,11 +10,11 @@
 
 use std::{fmt, fs, path::Path};
 
-use oleanderspan::document;
+use oleanderspan::document::{self, Fault};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use crate::codec;
+use crate::schema;
 
 /// Checked settings of a host.
 #[derive(Clone, Debug)]
@@ -59,14 +59,8 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Settings, Error> {
-        let bytes = fs::read(path).map_err(|error| Error {
-            path: path.display().to_string(),
-            reason: error.to_string(),
-        })?;
-        let raw: Raw = codec::from_json(&bytes).map_err(|error| match error {
-            codec::Error::Decode { path, reason } => Error { path, reason },
-            codec::Error::Encode(reason) => Error { path: ".".to_owned(), reason },
-        })?;
+        let bytes = fs::read(path).map_err(|error| Error::new("settings", error))?;
+        let raw: Raw = schema::read(&bytes, schema::of_settings())?;
         Settings::try_from(raw)
     }
 }
@@ -74,15 +68,25 @@
 impl TryFrom<Raw> for Settings {
     type Error = Error;
 
+    /// Checks every section, also behind a faulty one, so that one run names all faults.
     fn try_from(raw: Raw) -> Result<Settings, Error> {
         let environment = document::Environment::try_from(raw.environment.as_str())
-            .map_err(|error| Error::new("environment", error))?;
-        raw.entry.check()?;
-        raw.control.check()?;
-        raw.platform.check()?;
+            .map_err(|error| Error::new("environment", error));
+        let host: Result<host::Host, Error> = raw.host.try_into();
+        let mut faults = Vec::new();
+        let checks = [raw.entry.check(), raw.control.check(), raw.platform.check()];
+        let checks = checks.into_iter().chain([
+            environment.as_ref().map(|_| ()).map_err(Clone::clone),
+            host.as_ref().map(|_| ()).map_err(Clone::clone),
+        ]);
+        checks.filter_map(Result::err).for_each(|error| faults.extend(error.faults));
+        if !faults.is_empty() {
+            faults.sort_by(|a, b| a.path.cmp(&b.path));
+            return Err(Error { faults });
+        }
         Ok(Settings {
-            environment,
-            host: raw.host.try_into()?,
+            environment: environment?,
+            host: host?,
             entry: raw.entry,
             control: raw.control,
             platform: raw.platform,
@@ -92,24 +96,34 @@
     }
 }
 
-/// A fault of the settings and its place.
+/// The faults of settings, each with its place.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
-    /// The path of the key, or the file if it could not be read.
-    pub path: String,
-    /// What was found and wanted.
-    pub reason: String,
+    /// The faults, by their place.
+    pub faults: Vec<Fault>,
 }
 
 impl Error {
     fn new(path: &str, reason: impl fmt::Display) -> Error {
-        Error { path: path.to_owned(), reason: reason.to_string() }
+        Error { faults: vec![Fault { path: path.to_owned(), reason: reason.to_string() }] }
+    }
+}
+
+impl From<document::Error> for Error {
+    fn from(error: document::Error) -> Error {
+        Error { faults: error.faults }
     }
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.reason)
+        for (i, fault) in self.faults.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            fault.fmt(f)?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/node/src/settings/host.rs
+++ b/crates/node/src/settings/host.rs
@@ -29,11 +29,16 @@
     type Error = Error;
 
     fn try_from(raw: Raw) -> Result<Host, Error> {
-        Ok(Host {
-            name: entry::Name::try_from(raw.name.as_str())
-                .map_err(|error| Error::new("host.name", error))?,
-            zone: availability::Name::try_from(raw.zone.as_str())
-                .map_err(|error| Error::new("host.zone", error))?,
-        })
+        let name = entry::Name::try_from(raw.name.as_str());
+        let zone = availability::Name::try_from(raw.zone.as_str());
+        match (name, zone) {
+            (Ok(name), Ok(zone)) => Ok(Host { name, zone }),
+            (name, zone) => {
+                let name = name.err().map(|error| Error::new("host.name", error));
+                let zone = zone.err().map(|error| Error::new("host.zone", error));
+                let errors = name.into_iter().chain(zone);
+                Err(Error { faults: errors.flat_map(|error| error.faults).collect() })
+            }
+        }
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -163,6 +163,13 @@
         Ok(Some(body.to_vec()))
     }
 
+    /// The names of all objects that start with `prefix`, in their order.
+    pub async fn names(&self, prefix: &str) -> Result<Vec<String>, Error> {
+        let path = format!("/v1/names/{prefix}");
+        let (status, body) = self.call(Method::GET, &path, Vec::new()).await?;
+        decode(status, &body)
+    }
+
     /// Reads the list of backend servers.
     pub async fn list(&self) -> Result<List, Error> {
         let (status, body) = self.call(Method::GET, "/v1/servers", Vec::new()).await?;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -18,6 +18,9 @@
 pub struct Snapshot {
     /// Counts the snapshots of one control daemon.
     pub sequence: u64,
+    /// The latest stamp of the control daemon.
+    #[serde(default)]
+    pub stamp: u64,
     /// The version of the document in force.
     pub version: u64,
     /// The document in force, without its blocks.
@@ -114,6 +117,9 @@
 pub struct Observation {
     /// Servers that gave a sign of leaving, with their incarnation.
     pub leaving: Vec<(String, u64)>,
+    /// Events of the entry daemon.
+    #[serde(default)]
+    pub events: Vec<Happening>,
 }
 
 /// One exchange between control daemons; the answer has the same form.
--- a/crates/oleanderspan/src/document.rs
+++ b/crates/oleanderspan/src/document.rs
@@ -1,5 +1,6 @@
 //! Documents: what an operator writes, checked, and the versions that were accepted.
 
+pub mod change;
 pub mod draft;
 pub mod fault;
 pub mod hash;
@@ -9,6 +10,7 @@
 pub mod standing;
 pub mod version;
 
+pub use change::Change;
 pub use draft::Draft;
 pub use fault::{Error, Fault};
 pub use hash::Hash;
