--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! For tests and benchmarks only; nothing here runs in production.
 
+pub mod cost;
 pub mod deployment;
 pub mod fleet;
 pub mod load;
 pub mod platform;
 pub mod sample;
+pub mod scale;
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -35,6 +35,12 @@
     pub lost_answers_percent: u8,
     /// Lose the answer of the next write after it took effect, and refuse every call from then.
     pub away_after_write: bool,
+    /// Lose the answers of so many of the next writes after they took effect.
+    pub lose_next_answers: u32,
+    /// Let so many of the next writes take effect late, without an answer.
+    pub late_next_writes: u32,
+    /// How late they take effect.
+    pub late_ms: u64,
     /// Serve the list of servers as it was this long ago.
     pub list_lag_ms: u64,
 }
@@ -44,6 +50,8 @@
 pub struct Counts {
     /// Transactions.
     pub transactions: u64,
+    /// Rows that transactions wrote.
+    pub rows: u64,
     /// Reads of rows and scans.
     pub reads: u64,
     /// Objects stored or read.
@@ -108,6 +116,15 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a fault strikes that has a number of times left.
+    fn take_fault(&self, left: impl FnOnce(&mut Faults) -> &mut u32) -> bool {
+        let mut inner = self.lock();
+        let left = left(&mut inner.faults);
+        let strikes = *left > 0;
+        *left = left.saturating_sub(1);
+        strikes
+    }
+
     fn transact(&self, transaction: &Transaction) -> Result<(), Conflict> {
         let mut inner = self.lock();
         inner.counts.transactions += 1;
@@ -125,6 +142,7 @@
             let version = inner.rows.get(&write.key).map_or(0, |row| row.version) + 1;
             let row = Row { key: write.key.clone(), version, value: write.value.clone() };
             inner.rows.insert(write.key.clone(), row);
+            inner.counts.rows += 1;
         }
         Ok(())
     }
@@ -238,13 +256,24 @@
         if faults.away {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let answer = self.call(&head.method, head.uri.path(), &body);
         let is_write = head.uri.path() == "/v1/table/transact";
+        if is_write && self.take_fault(|faults| &mut faults.late_next_writes) {
+            let (platform, late) = (self.clone(), Duration::from_millis(faults.late_ms));
+            tokio::spawn(async move {
+                tokio::time::sleep(late).await;
+                platform.call(&Method::POST, "/v1/table/transact", &body);
+            });
+            std::future::pending::<()>().await;
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let answer = self.call(&head.method, head.uri.path(), &body);
         if is_write && faults.away_after_write {
             self.lock().faults.away = true;
             std::future::pending::<()>().await;
         }
-        if is_write && rand::random_range(0..100) < faults.lost_answers_percent {
+        let by_chance = rand::random_range(0..100) < faults.lost_answers_percent;
+        let is_lost = || by_chance || self.take_fault(|faults| &mut faults.lose_next_answers);
+        if is_write && is_lost() {
             std::future::pending::<()>().await;
         }
         answer
--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -39,6 +39,11 @@
     Hash::from_bytes(*blake3::hash(bytes).as_bytes())
 }
 
+/// The content hash of bytes, in hexadecimal.
+pub fn hash(bytes: &[u8]) -> String {
+    content_hash(bytes).to_string()
+}
+
 /// Why bytes could not be read or written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
--- a/crates/node/src/control/acceptance.rs
+++ b/crates/node/src/control/acceptance.rs
@@ -12,7 +12,6 @@
         Hash, Proposal, Record, Shown, Version, raw,
         record::{self, Decision},
     },
-    entry::rank,
     event::Kind,
     prelude::*,
 };
@@ -32,9 +31,6 @@
 /// The mean time between two looks at the environment's record.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Hosts of a zone that look at the record; all others learn from peers.
-const READERS_PER_ZONE: usize = 2;
-
 /// How often a part is stored before the proposal is given up.
 const MAX_STORE_TRIES: u32 = 3;
 
@@ -75,7 +71,7 @@
 /// Follows the environment's record for ever.
 pub async fn watch(state: State) {
     loop {
-        if (is_reader(&state) || !state.is_ready())
+        if (state.roster.reads_store() || !state.is_ready())
             && let Err(error) = look(&state).await
         {
             debug!(state.log, "environment not read"; "error" => %error);
@@ -85,19 +81,6 @@
     }
 }
 
-/// Whether this host is among those of its zone that read the record.
-fn is_reader(state: &State) -> bool {
-    let own = state.own_host();
-    let mut hosts: Vec<String> = {
-        let inner = state.lock();
-        let near = inner.hosts.values().filter(|peer| peer.host.zone == own.zone);
-        near.map(|peer| peer.host.name.clone()).collect()
-    };
-    hosts.push(own.name.clone());
-    rank::sort(&mut hosts, &format!("readers/{}", own.zone), String::as_str);
-    hosts.iter().take(READERS_PER_ZONE).any(|name| *name == own.name)
-}
-
 async fn look(state: &State) -> Result<(), Error> {
     let found = read(state, state.settings.environment.as_str()).await?;
     if let Some((version, record)) = found {
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -165,13 +165,14 @@
 
 impl From<wire::Exchange> for HostReport {
     fn from(exchange: wire::Exchange) -> HostReport {
+        let from = exchange.members.from;
         HostReport {
-            state: format!("{:?}", exchange.from.state).to_lowercase(),
-            name: Some(exchange.from.name),
-            zone: Some(exchange.from.zone),
-            address: exchange.from.peer_address.to_string(),
-            version: Some(exchange.version),
-            document: exchange.document.map(|document| document.to_string()),
+            state: format!("{:?}", from.state).to_lowercase(),
+            name: Some(from.name),
+            zone: Some(from.zone),
+            address: from.peer_address.to_string(),
+            version: Some(exchange.document.version),
+            document: exchange.document.document.map(|document| document.to_string()),
         }
     }
 }
@@ -179,11 +180,11 @@
 impl HostReport {
     /// The report of a host that did not answer, with what others told of it.
     fn silent(state: &State, address: SocketAddr) -> HostReport {
-        let inner = state.lock();
-        let known = inner.hosts.values().find(|peer| peer.host.peer_address == address);
+        let hosts = state.roster.hosts();
+        let known = hosts.iter().find(|host| host.peer_address == address);
         HostReport {
-            name: known.map(|peer| peer.host.name.clone()),
-            zone: known.map(|peer| peer.host.zone.clone()),
+            name: known.map(|host| host.name.clone()),
+            zone: known.map(|host| host.zone.clone()),
             state: "silent".to_owned(),
             address: address.to_string(),
             version: None,
@@ -224,18 +225,15 @@
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(context: RequestContext<State>) -> Result<HttpResponseOk<Status>, HttpError> {
     let state = context.context();
-    let own = state.own_host();
+    let hosts = state.roster.hosts();
     let inner = state.lock();
-    let mut hosts: Vec<_> = inner.hosts.values().map(|peer| peer.host.clone()).collect();
-    hosts.push(own.clone());
-    hosts.sort_by(|a, b| a.name.cmp(&b.name));
     let hosts = hosts.into_iter().map(|host| HostStatus {
         state: format!("{:?}", host.state).to_lowercase(),
         name: host.name,
         zone: host.zone,
     });
     Ok(HttpResponseOk(Status {
-        host: own.name,
+        host: state.settings.host.name.to_string(),
         environment: state.settings.environment.to_string(),
         version: inner.accepted.as_ref().map_or(0, |accepted| accepted.version.0),
         document: inner.accepted.as_ref().map_or_else(String::new, |a| a.hash.to_string()),
@@ -329,7 +327,7 @@
     context: RequestContext<State>,
 ) -> Result<HttpResponseOk<Vec<HostReport>>, HttpError> {
     let state = context.context();
-    let mut reports = vec![HostReport::from(exchange::message(state))];
+    let mut reports = vec![HostReport::from(exchange::message(state, None))];
     for answer in survey::ask_all::<wire::Exchange>(state, "/status").await {
         reports.push(match answer.value {
             Some(exchange) => HostReport::from(exchange),
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -3,6 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use oleanderspan::{
+    backend::{Signs, server::Identity},
     document::{self, Draft, Hash, Lesson, Shown, Standing, Version, raw},
     event::{Event, Hybrid, Kind},
     prelude::*,
@@ -15,6 +16,7 @@
     clock::{Monotonic, wall_millis},
     codec,
     control::{
+        membership::Roster,
         parts::{self, Parts, Source},
         timeline::Journal,
     },
@@ -49,8 +51,8 @@
     pub log: Logger,
     /// Told when something that the entry daemon must know has changed.
     pub changed: Notify,
-    /// The incarnation of this host.
-    pub incarnation: u64,
+    /// What is known of entry hosts.
+    pub roster: Roster,
     /// Held by the task that gathers a document, so that no part is fetched twice.
     gathering: tokio::sync::Mutex<()>,
     inner: Mutex<Inner>,
@@ -90,15 +92,6 @@
     }
 }
 
-/// A host that was heard of, and when it answered last.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// What it said of itself.
-    pub host: wire::Host,
-    /// When it answered last.
-    pub heard: Instant,
-}
-
 /// What changes.
 #[derive(Debug, Default)]
 pub struct Inner {
@@ -110,12 +103,14 @@
     pub store_told: bool,
     /// Documents that were shown under a version which belongs to another.
     pub corrupt: Set<Hash>,
-    /// Other hosts, by name.
-    pub hosts: Map<String, Peer>,
     /// The platform's list, as it was read last.
     pub list: store::List,
-    /// Servers that gave a sign of leaving, with their incarnation.
-    pub leaving: Set<(String, u64)>,
+    /// When and by its content which list that is.
+    pub listing: wire::Listing,
+    /// Servers that gave a sign of leaving.
+    pub signs: Signs,
+    /// The document's version and the list's hash whose signs have been noted.
+    pub signs_source: (u64, String),
     /// Shares in force, by service name and region of the caller.
     pub shares: Map<String, Vec<Slew>>,
     /// The latest snapshot for the entry daemon.
@@ -136,13 +131,14 @@
     /// The state of a daemon that has learned nothing yet.
     pub fn start(settings: Settings, log: Logger) -> State {
         let process = format!("{}/control", settings.host.name).into();
+        let clock = Monotonic::start();
         let state = State(Arc::new(Shared {
             store: Store::new(&settings.platform),
             peers: Client::new(Protocol::Http2),
-            clock: Monotonic::start(),
+            roster: Roster::new(&settings, clock.now()),
+            clock,
             hybrid: Hybrid::default(),
             changed: Notify::new(),
-            incarnation: wall_millis(),
             gathering: tokio::sync::Mutex::default(),
             inner: Mutex::default(),
             process,
@@ -235,6 +231,7 @@
         }
         self.record(Kind::InForce, shown.version.to_string(), detail);
         self.changed.notify_one();
+        self.roster.hurry();
     }
 
     /// Takes note that the store has told what is in force.
@@ -253,27 +250,15 @@
         inner.accepted.is_some() && (inner.store_told || learned)
     }
 
-    /// Takes note that a server is leaving; true for the first sign of this incarnation.
-    pub fn note_leaving(&self, name: &str, incarnation: u64) {
-        let first = self.lock().leaving.insert((name.to_owned(), incarnation));
+    /// Takes note of a sign that a server is leaving.
+    pub fn note_leaving(&self, identity: Identity) {
+        let subject = identity.name.to_string();
+        let detail = format!("incarnation {}", identity.incarnation);
+        let first = self.lock().signs.note(identity, self.clock.now());
         if first {
-            self.record(Kind::ServerLeaving, name, format!("incarnation {incarnation}"));
+            self.record(Kind::ServerLeaving, subject, detail);
             self.changed.notify_one();
-        }
-    }
-
-    /// This host as it tells others of itself.
-    pub fn own_host(&self) -> wire::Host {
-        let settings = &self.settings;
-        let ready = self.is_ready();
-        wire::Host {
-            name: settings.host.name.to_string(),
-            incarnation: self.incarnation,
-            state: if ready { wire::HostState::Live } else { wire::HostState::Starting },
-            zone: settings.host.zone.to_string(),
-            caller_address: settings.entry.caller_address,
-            relay_address: settings.entry.relay_address,
-            peer_address: settings.control.peer_address,
+            self.roster.hurry();
         }
     }
 }
--- a/crates/node/src/control/timeline.rs
+++ b/crates/node/src/control/timeline.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 
 use futures_util::{StreamExt, stream};
+use http::Response;
 use oleanderspan::{
     event::{self, Event, Stamp},
     prelude::*,
@@ -13,7 +14,8 @@
 use crate::{
     clock::wall_millis,
     codec,
-    control::{State, source::MAX_OBJECTS_AT_ONCE, survey},
+    control::{State, exchange, source::MAX_OBJECTS_AT_ONCE, survey},
+    http::Body,
     store, wire,
 };
 
@@ -126,7 +128,7 @@
 
 fn next_batch(state: &State) -> Option<Batch> {
     let hour = folder(state, wall_millis() / HOUR_MILLIS);
-    let folder = format!("{hour}{}-{}", state.settings.host.name, state.incarnation);
+    let folder = format!("{hour}{}-{}", state.settings.host.name, state.roster.incarnation().0);
     state.lock().journal.next_batch(&folder)
 }
 
@@ -142,6 +144,12 @@
     }
 }
 
+/// Answers with the recent events of this host.
+pub fn answer(state: &State) -> Response<Body> {
+    let events = state.lock().journal.recent();
+    exchange::wire(&events.iter().map(wire::Happening::from).collect::<Vec<_>>())
+}
+
 /// Merges the recent events of all hosts, and the batches of the last `stored_hours`.
 pub async fn merged(state: &State, stored_hours: u64) -> Result<Merged, store::Error> {
     let answers = survey::ask_all::<Vec<wire::Happening>>(state, "/events").await;
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -12,7 +12,7 @@
 use crate::{
     codec,
     entry::{
-        State,
+        State, claims,
         dispatch::{Answer, Call},
         parcel::Parcel,
         refusal,
@@ -111,8 +111,13 @@
         head.headers.insert(names::REQUEST_ID, names::value(id));
         forward_caller(&mut head, peer.ip());
         let began = state.clock.now();
-        let mut parcel = Parcel::receive(head, body, call.left(began)?).await?;
-        let answer = steer::steer(state, snapshot, call, &mut parcel).await?;
+        let is_keyed = head.headers.contains_key(names::IDEMPOTENCY_KEY);
+        let answer = if call.repeat == Repeat::Forbidden && is_keyed {
+            claims::request(state, snapshot, call, head, body).await?
+        } else {
+            let mut parcel = Parcel::receive(head, body, call.left(began)?).await?;
+            steer::steer(state, snapshot, call, &mut parcel).await?
+        };
         state.counters.count_done(state.clock.now().since(began));
         Ok(answer)
     }
