Commit schemas, the interface's description, samples and files of bad input

Cause: operators had no schema, no description of the interface and no samples to start from; argh ended a faulty command line with 1, which means refused; nothing proved that raw input is refused without a panic or that the time line outlives hosts. Change: docs/schema, docs/openapi.json and samples with tests that they are up to date (INSTA_UPDATE=always writes them again); 4 valid and 24 invalid files with the expected message beside each, run against the real binaries; proptests of raw input; usage ends with 2 in all programs; process tests of the time line. Conclusion: every structural fault of a document or of settings is named at once.

--- /dev/null
+++ b/crates/node/src/arguments.rs
@@ -0,0 +1,27 @@
+//! The command line of all programs: faults end with the exit code of usage, help with 0.
+
+use std::{env, path::Path, process::ExitCode};
+
+use argh::TopLevelCommand;
+
+/// The exit code of a faulty command line, or of faulty settings or documents.
+pub const EXIT_USAGE: u8 = 2;
+
+/// Reads the command line, or says how the process ends.
+pub fn parse<T: TopLevelCommand>() -> Result<T, ExitCode> {
+    let arguments: Vec<String> =
+        env::args_os().map(|argument| argument.to_string_lossy().into_owned()).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let (program, rest) = arguments.split_first().unwrap_or((&"", &[]));
+    let name = Path::new(program).file_name().and_then(|name| name.to_str()).unwrap_or(program);
+    T::from_args(&[name], rest).map_err(|early| match early.status {
+        Ok(()) => {
+            println!("{}", early.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}\nRun {name} --help for more information.", early.output);
+            ExitCode::from(EXIT_USAGE)
+        }
+    })
+}
--- a/crates/node/src/bin/control.rs
+++ b/crates/node/src/bin/control.rs
@@ -2,15 +2,14 @@
 
 use std::process::ExitCode;
 
-use oleanderspan_node::{control, daemon, log};
+use oleanderspan_node::{arguments, control, daemon, log};
 use tokio_util::sync::CancellationToken;
 
 /// Worker threads; the work is small and mostly waiting.
 const THREADS: usize = 2;
 
 fn main() -> ExitCode {
-    let arguments: daemon::Arguments = argh::from_env();
-    let settings = match daemon::load(&arguments) {
+    let settings = match arguments::parse().and_then(|arguments| daemon::load(&arguments)) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
--- a/crates/node/src/bin/entry.rs
+++ b/crates/node/src/bin/entry.rs
@@ -2,12 +2,11 @@
 
 use std::process::ExitCode;
 
-use oleanderspan_node::{daemon, entry, log};
+use oleanderspan_node::{arguments, daemon, entry, log};
 use tokio_util::sync::CancellationToken;
 
 fn main() -> ExitCode {
-    let arguments: daemon::Arguments = argh::from_env();
-    let settings = match daemon::load(&arguments) {
+    let settings = match arguments::parse().and_then(|arguments| daemon::load(&arguments)) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -7,10 +7,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
-use crate::settings::Settings;
-
-/// The exit code of faulty settings.
-pub const EXIT_USAGE: u8 = 2;
+use crate::{arguments::EXIT_USAGE, settings::Settings};
 
 /// A daemon of oleanderspan; SIGTERM is a planned stop, a second one stops at once.
 #[derive(FromArgs, Debug)]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decisions live in the `oleanderspan` library; this crate turns bytes into its checked types
 //! and its answers into bytes. See `docs/DESIGN.md`.
 
+pub mod arguments;
 pub mod clock;
 pub mod codec;
 pub mod control;
--- a/crates/node/src/schema.rs
+++ b/crates/node/src/schema.rs
@@ -85,6 +85,11 @@
         ValidationErrorKind::Required { property } => {
             vec![under(property.as_str().unwrap_or_default(), "missing")]
         }
+        // Addresses are the only texts whose schema has a pattern.
+        ValidationErrorKind::Pattern { .. } => {
+            let reason = format!("wanted an IP address with a port, found {}", error.instance());
+            vec![Fault { path, reason }]
+        }
         _ => {
             let reason: String = error.to_string().chars().take(MAX_REASON).collect();
             vec![Fault { path: if path.is_empty() { ".".to_owned() } else { path }, reason }]
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a host, one JSON file for both of its daemons, checked whole before anything
 //! starts; see `docs/operators/settings.md`.
 
+pub mod address;
 pub mod control;
 pub mod entry;
 pub mod host;
@@ -38,6 +39,7 @@
 /// Settings as they are written.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
+#[schemars(title = "Settings")]
 pub struct Raw {
     /// The environment that the host serves.
     pub environment: String,
--- a/crates/node/src/settings/control.rs
+++ b/crates/node/src/settings/control.rs
@@ -5,20 +5,20 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use super::Error;
+use super::{Error, address};
 
 /// The `control` section.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Control {
     /// Where the operator interface listens.
-    #[schemars(with = "String")]
+    #[schemars(with = "address::Text")]
     pub operator_address: SocketAddr,
     /// Where other control daemons and the own entry daemon connect.
-    #[schemars(with = "String")]
+    #[schemars(with = "address::Text")]
     pub peer_address: SocketAddr,
     /// Peer addresses of a few other hosts, from which the rest are learned.
-    #[schemars(with = "Vec<String>")]
+    #[schemars(with = "Vec<address::Text>")]
     pub peers: Vec<SocketAddr>,
 }
 
--- a/crates/node/src/settings/entry.rs
+++ b/crates/node/src/settings/entry.rs
@@ -5,17 +5,17 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use super::Error;
+use super::{Error, address};
 
 /// The `entry` section.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
     /// Where callers connect.
-    #[schemars(with = "String")]
+    #[schemars(with = "address::Text")]
     pub caller_address: SocketAddr,
     /// Where other entry daemons relay requests to.
-    #[schemars(with = "String")]
+    #[schemars(with = "address::Text")]
     pub relay_address: SocketAddr,
     /// Worker threads.
     #[serde(default = "default_threads")]
--- a/crates/node/src/settings/metrics.rs
+++ b/crates/node/src/settings/metrics.rs
@@ -5,12 +5,14 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+use super::address;
+
 /// The `metrics` section.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Metrics {
     /// Where statsd datagrams are sent.
-    #[schemars(with = "String")]
+    #[schemars(with = "address::Text")]
     pub address: SocketAddr,
     /// What the name of every metric starts with.
     #[serde(default = "default_prefix")]
--- a/crates/node/src/settings/platform.rs
+++ b/crates/node/src/settings/platform.rs
@@ -5,14 +5,14 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use super::Error;
+use super::{Error, address};
 
 /// The `platform` section.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Where the platform's service listens.
-    #[schemars(with = "String")]
+    #[schemars(with = "address::Text")]
     pub address: SocketAddr,
     /// Longest time to wait for an answer, in milliseconds.
     #[serde(default = "default_timeout_ms")]
--- /dev/null
+++ b/crates/node/tests/document_inputs.rs
@@ -0,0 +1,170 @@
+//! Raw input of any kind is checked without a panic, and what is accepted keeps its rules.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use oleanderspan::{
+    caller::block::Prefix,
+    document::{Draft, Environment, Hash},
+    event::Event,
+    name::Label,
+    region::Percent,
+    shift::{Vector, WHOLE_PPM},
+};
+use oleanderspan_node::{
+    codec,
+    schema::{self, read_document},
+    settings::{Raw, Settings},
+    wire,
+};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+const DOCUMENT: &str = include_str!("../../cli/tests/files/valid/full.json");
+const SETTINGS: &str = include_str!("files/valid/full.json");
+
+/// Values that take the place of a valid one.
+fn replacements() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        (0..400u32).prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        "[a-z0-9.:/-]{0,70}".prop_map(Value::from),
+        ".{0,20}".prop_map(Value::from),
+        Just(json!([])),
+        Just(json!({})),
+        "[a-z]{1,5}".prop_map(|key| json!({ key: 1 })),
+        Just(json!(["r-a", "r-a"])),
+    ]
+}
+
+/// The pointers of every value in `value`.
+fn pointers(value: &Value, path: &str, found: &mut Vec<String>) {
+    found.push(path.to_owned());
+    let escape = |key: &str| key.replace('~', "~0").replace('/', "~1");
+    match value {
+        Value::Object(map) => {
+            map.iter().for_each(|(k, v)| pointers(v, &format!("{path}/{}", escape(k)), found));
+        }
+        Value::Array(list) => {
+            list.iter().enumerate().for_each(|(i, v)| pointers(v, &format!("{path}/{i}"), found));
+        }
+        _ => {}
+    }
+}
+
+/// A valid text of which a few values are replaced.
+fn damaged(text: &'static str) -> impl Strategy<Value = Vec<u8>> {
+    let place = any::<prop::sample::Index>();
+    proptest::collection::vec((place, replacements()), 1..4).prop_map(move |changes| {
+        let mut value: Value = serde_json::from_str(text).unwrap();
+        for (place, replacement) in changes {
+            let mut found = Vec::new();
+            pointers(&value, "", &mut found);
+            let pointer: &String = place.get(&found);
+            *value.pointer_mut(pointer).unwrap() = replacement;
+        }
+        serde_json::to_vec(&value).unwrap()
+    })
+}
+
+fn read_settings(bytes: &[u8]) -> Result<Settings, String> {
+    let raw: Raw = schema::read(bytes, schema::of_settings()).map_err(|error| error.to_string())?;
+    Settings::try_from(raw).map_err(|error| error.to_string())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_024))]
+
+    #[test]
+    fn damaged_documents_are_refused_by_place_or_keep_the_rules(bytes in damaged(DOCUMENT)) {
+        match read_document(&bytes) {
+            Err(error) => {
+                prop_assert!(!error.faults.is_empty());
+                prop_assert!(error.faults.iter().all(|fault| !fault.path.is_empty()));
+            }
+            Ok(raw) => {
+                let draft = Draft::try_from(&raw).unwrap();
+                for service in &draft.services {
+                    prop_assert_eq!(service.routes.len(), draft.regions.len());
+                    prop_assert!(service.shift.rise_ppm <= WHOLE_PPM && !service.shift.window.is_zero());
+                }
+                prop_assert!(draft.blocks.iter().all(|b| usize::from(b.site.0) < draft.sites.len()));
+            }
+        }
+    }
+
+    #[test]
+    fn damaged_settings_are_refused_or_keep_the_rules(bytes in damaged(SETTINGS)) {
+        match read_settings(&bytes) {
+            Err(faults) => prop_assert!(faults.contains(": "), "{}", faults),
+            Ok(settings) => {
+                prop_assert!((1..=64).contains(&settings.entry.threads));
+                prop_assert!(settings.platform.timeout_ms > 0);
+                prop_assert_ne!(settings.entry.caller_address, settings.entry.relay_address);
+            }
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(read_document(&bytes).is_err());
+        prop_assert!(read_settings(&bytes).is_err());
+        let _ = codec::from_wire::<wire::Parts>(&bytes);
+        let _ = codec::from_wire::<Vec<Hash>>(&bytes);
+        let _ = codec::from_wire::<wire::Exchange>(&bytes);
+        let _ = codec::from_wire::<wire::Observation>(&bytes);
+        let _ = codec::from_wire::<wire::Snapshot>(&bytes);
+    }
+}
+
+proptest! {
+    #[test]
+    fn names_are_kept_as_written_or_refused(text in "[a-zA-Z0-9-]{0,70}|.{0,5}") {
+        let is_valid = (1..=63).contains(&text.len())
+            && !text.starts_with('-')
+            && text.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-');
+        prop_assert_eq!(Label::try_from(text.as_str()).is_ok(), is_valid);
+        if let Ok(name) = Environment::try_from(text.as_str()) {
+            prop_assert_eq!(name.as_str(), text);
+        }
+    }
+
+    #[test]
+    fn prefixes_print_as_they_are_read(text in "[0-9]{1,3}(\\.[0-9]{1,3}){3}/[0-9]{1,2}|[0-9a-f:]{2,20}/[0-9]{1,3}") {
+        if let Ok(prefix) = Prefix::try_from(text.as_str()) {
+            prop_assert!(prefix.first() <= prefix.last());
+            prop_assert_eq!(Prefix::try_from(prefix.to_string().as_str()), Ok(prefix));
+        }
+    }
+
+    #[test]
+    fn hashes_print_as_they_are_read(bytes in any::<[u8; 32]>(), text in "[0-9a-fA-F+ ]{62,66}") {
+        let hash = Hash::from_bytes(bytes);
+        prop_assert_eq!(Hash::try_from(hash.to_string().as_str()), Ok(hash));
+        if let Ok(read) = Hash::try_from(text.as_str()) {
+            prop_assert_eq!(read.to_string(), text.to_lowercase());
+        }
+    }
+
+    #[test]
+    fn shares_add_up_or_are_refused(shares in proptest::collection::vec(0..=WHOLE_PPM, 0..5), percent in any::<u8>()) {
+        let whole = shares.iter().map(|share| u64::from(*share)).sum::<u64>() == u64::from(WHOLE_PPM);
+        prop_assert_eq!(Vector::try_from(shares).is_ok(), whole);
+        prop_assert_eq!(Percent::try_from(percent).is_ok(), percent <= 100);
+    }
+
+    #[test]
+    fn events_of_any_kind_are_read_or_refused(stamp in any::<u64>(), kind in "started|in-force|[a-z-]{0,9}") {
+        let known = ["started", "in-force"].contains(&kind.as_str())
+            || oleanderspan::event::Kind::ALL.iter().any(|k| k.as_str() == kind);
+        let text = || "a".to_owned();
+        let raw = wire::Happening { stamp, process: text(), kind, subject: text(), detail: text() };
+        let read = Event::try_from(raw.clone());
+        prop_assert_eq!(read.is_ok(), known);
+        if let Ok(event) = read {
+            prop_assert_eq!(wire::Happening::from(&event), raw);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/settings_files.rs
@@ -0,0 +1,63 @@
+//! Valid and invalid settings, run against both daemons as they are started.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+const DAEMONS: [&str; 2] =
+    [env!("CARGO_BIN_EXE_oleanderspan-control"), env!("CARGO_BIN_EXE_oleanderspan-entry")];
+
+/// The files of a folder, run from the package so that messages have no path of the machine.
+fn files(folder: &str) -> Vec<PathBuf> {
+    let folder = Path::new("tests/files").join(folder);
+    let found = fs::read_dir(folder).unwrap().map(|file| file.unwrap().path());
+    let mut found: Vec<PathBuf> =
+        found.filter(|file| file.extension().is_some_and(|e| e == "json")).collect();
+    found.sort();
+    assert!(!found.is_empty());
+    found
+}
+
+fn check(daemon: &str, file: &Path) -> (i32, String, String) {
+    let output =
+        Command::new(daemon).arg("--check-settings").arg("--settings").arg(file).output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn valid_settings_are_accepted() {
+    for file in files("valid") {
+        for daemon in DAEMONS {
+            let (code, stdout, stderr) = check(daemon, &file);
+            assert_eq!((code, stderr.as_str()), (0, ""), "{}", file.display());
+            assert_eq!(stdout, format!("{}: valid\n", file.display()));
+        }
+    }
+}
+
+#[test]
+fn invalid_settings_are_refused_with_every_fault() {
+    for file in files("invalid") {
+        for daemon in DAEMONS {
+            let (code, _, stderr) = check(daemon, &file);
+            assert_eq!(code, 2, "{}", file.display());
+            let expected = file.with_extension("txt");
+            if env::var("INSTA_UPDATE").is_ok_and(|update| update == "always") {
+                fs::write(&expected, &stderr).unwrap();
+            }
+            assert_eq!(stderr, fs::read_to_string(&expected).unwrap(), "{}", file.display());
+        }
+    }
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let (code, _, stderr) = check(DAEMONS[0], Path::new("tests/files/none.json"));
+    assert_eq!(code, 2);
+    assert!(stderr.starts_with("tests/files/none.json:\nsettings: No such file"), "{stderr}");
+}
