--- a/crates/node/src/entry/claims.rs
+++ b/crates/node/src/entry/claims.rs
@@ -29,6 +29,7 @@
         State,
         claims::{batch::Limits, place::Place},
         dispatch::{Answer, Call},
+        jobs,
         parcel::Parcel,
         state::Snapshot,
         steer,
@@ -47,9 +48,9 @@
 const READS: Limits = Limits { spacing: Duration::from_millis(10), rows: 256 };
 
 /// Outcomes that may wait to be recorded; beyond them the bodies of answers are not kept.
-const MAX_OPEN_TASKS: usize = 2_048;
+const MAX_OPEN_SETTLEMENTS: usize = 2_048;
 
-/// The longest wait for open claims at a planned stop.
+/// The longest wait for outcomes to be recorded at a planned stop.
 const DRAIN_LIMIT: Duration = Duration::from_secs(10);
 
 /// The way to the table that all claims of a host share; cloning it is cheap.
@@ -57,7 +58,8 @@
 pub struct Claims {
     writes: mpsc::Sender<write::Ticket>,
     reads: mpsc::Sender<read::Ticket>,
-    tasks: TaskTracker,
+    runs: TaskTracker,
+    settlements: TaskTracker,
     environment: Arc<str>,
     host: Arc<str>,
 }
@@ -85,8 +87,14 @@
         let (reads, queued_reads) = mpsc::channel(QUEUE_TICKETS);
         tokio::spawn(batch::run::<write::Batch>(store.clone(), queued_writes, limits));
         tokio::spawn(batch::run::<read::Batch>(store.clone(), queued_reads, READS));
-        let tasks = TaskTracker::new();
-        Claims { writes, reads, tasks, environment: environment.into(), host: host.into() }
+        Claims {
+            writes,
+            reads,
+            runs: TaskTracker::new(),
+            settlements: TaskTracker::new(),
+            environment: environment.into(),
+            host: host.into(),
+        }
     }
 
     /// The name of the row of a claim.
@@ -109,7 +117,7 @@
         &self,
         task: impl Future<Output = T> + Send + 'static,
     ) -> JoinHandle<T> {
-        self.tasks.spawn(task)
+        self.runs.spawn(task)
     }
 
     /// Settles a claim in the background.
@@ -118,18 +126,21 @@
         table: T,
         settlement: Settlement,
     ) {
-        self.tasks.spawn(async move { table::settle(&table, settlement).await });
+        self.settlements.spawn(async move { table::settle(&table, settlement).await });
     }
 
     /// Whether bodies of answers are kept; a table that is away long must not fill the memory.
     pub fn keeps_bodies(&self) -> bool {
-        self.tasks.len() < MAX_OPEN_TASKS
+        self.settlements.len() < MAX_OPEN_SETTLEMENTS
     }
 
-    /// Waits for the open claims at a planned stop, but not for a table that is away.
+    /// Waits for all that runs at a planned stop, each within its own time limit, and then for the
+    /// records, but not for a table that is away.
     pub async fn drain(&self) {
-        self.tasks.close();
-        let _ = tokio::time::timeout(DRAIN_LIMIT, self.tasks.wait()).await;
+        self.runs.close();
+        self.runs.wait().await;
+        self.settlements.close();
+        let _ = tokio::time::timeout(DRAIN_LIMIT, self.settlements.wait()).await;
     }
 }
 
@@ -140,6 +151,7 @@
     call: Call<'_>,
     head: request::Parts,
     body: Incoming,
+    caller: IpAddr,
 ) -> Result<Answer, Refusal> {
     let key = names::text(&head.headers, &names::IDEMPOTENCY_KEY).ok_or(Refusal::Malformed)?;
     let key = Key::try_from(key).map_err(|_| Refusal::Malformed)?;
@@ -147,6 +159,10 @@
     let body = tokio::time::timeout(left, body::buffer(body)).await;
     let body = body.map_err(|_| Refusal::Expired)??;
     let digest = body::digest(&head, &body);
+    if jobs::is_wanted(&head.headers) {
+        let arrival = jobs::Arrival { key, digest, head, body, caller };
+        return jobs::submit(state, &snapshot, call, arrival).await;
+    }
     let request = Request { key, digest, parcel: Parcel::buffered(head, body) };
     let id = call.id.to_owned();
     let (service, region, repeat, deadline) =
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,11 +11,10 @@
 };
 use slog::{Logger, info};
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     clock::{Monotonic, wall_millis},
-    entry::{claims::Claims, counters::Counters, slot},
+    entry::{claims::Claims, counters::Counters, jobs::Jobs, slot, stop::Stop},
     http::client::{Client, Protocol},
     metrics,
     settings::Settings,
@@ -49,6 +48,8 @@
     pub control: Client,
     /// Claims of requests that run at most once.
     pub claims: Claims,
+    /// Requests that may wait.
+    pub jobs: Jobs,
     /// The log.
     pub log: Logger,
     /// The metrics.
@@ -58,10 +59,11 @@
     /// The clock of events.
     pub hybrid: Hybrid,
     process: Arc<str>,
+    /// How far a planned stop has come.
+    pub stop: Stop,
     snapshot: ArcSwapOption<Snapshot>,
     observed: mpsc::Sender<wire::Observation>,
     observations: tokio::sync::Mutex<mpsc::Receiver<wire::Observation>>,
-    closed: CancellationToken,
 }
 
 impl std::ops::Deref for State {
@@ -80,6 +82,7 @@
         let host = settings.host.name.as_str();
         Ok(State(Arc::new(Shared {
             claims: Claims::start(&store, &settings.environment, host),
+            jobs: Jobs::start(store, host),
             name: settings.host.name.clone(),
             clock: Monotonic::start(),
             servers: Client::new(Protocol::Http1),
@@ -93,24 +96,9 @@
             snapshot: ArcSwapOption::empty(),
             observed,
             observations: tokio::sync::Mutex::new(observations),
-            closed: CancellationToken::new(),
+            stop: Stop::default(),
         })))
     }
-
-    /// Closes the caller port once `stop` was asked for.
-    pub async fn drain_after(&self, stop: CancellationToken) {
-        let state = self.clone();
-        tokio::spawn(async move {
-            stop.cancelled().await;
-            state.record(Kind::Stopping, "", "");
-            state.closed.cancel();
-        });
-    }
-
-    /// Cancelled when the caller port shall close.
-    pub fn closed(&self) -> CancellationToken {
-        self.closed.clone()
-    }
 }
 
 impl Shared {
