--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -18,6 +18,7 @@
     control::operator::{Acceptance, Document},
     schema::read_document,
 };
+use serde::de::DeserializeOwned;
 
 use crate::{
     Exit,
@@ -117,3 +118,15 @@
     let path = format!("/v1/environments/{environment}/document");
     Ok(Interface::new(control).get(&path).await?)
 }
+
+/// Asks several interfaces in turn until one answers.
+async fn first<T: DeserializeOwned>(controls: &[SocketAddr], path: &str) -> Result<T, Failure> {
+    let mut failure = Failure::Usage("wanted --control".to_owned());
+    for control in controls {
+        match Interface::new(*control).get(path).await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => failure = error.into(),
+        }
+    }
+    Err(failure)
+}
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -5,21 +5,20 @@
 use argh::FromArgs;
 use oleanderspan_node::control::operator::HostReport;
 
-use super::Failure;
-use crate::interface::Interface;
+use super::{Failure, first};
 
 /// Show what is in force on every host; the host that is asked asks the others.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "status")]
 pub(super) struct Status {
-    /// the operator interface of any host
+    /// the operator interface of any host; given more than once, the first that answers is asked
     #[argh(option)]
-    control: SocketAddr,
+    control: Vec<SocketAddr>,
 }
 
 impl Status {
     pub(super) async fn run(&self) -> Result<(), Failure> {
-        let reports: Vec<HostReport> = Interface::new(self.control).get("/v1/hosts").await?;
+        let reports: Vec<HostReport> = first(&self.control, "/v1/hosts").await?;
         for report in &reports {
             println!("{}", line(report));
         }
--- a/crates/cli/src/command/timeline.rs
+++ b/crates/cli/src/command/timeline.rs
@@ -5,16 +5,15 @@
 use argh::FromArgs;
 use oleanderspan_node::control::operator::{self, TimelineEvent};
 
-use super::Failure;
-use crate::interface::Interface;
+use super::{Failure, first};
 
 /// Show the time line of all hosts, merged; the host that is asked asks the others.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "timeline")]
 pub(super) struct Timeline {
-    /// the operator interface of any host
+    /// the operator interface of any host; given more than once, the first that answers is asked
     #[argh(option)]
-    control: SocketAddr,
+    control: Vec<SocketAddr>,
     /// only events from this time on, as printed: 2026-01-31T12:00 for example
     #[argh(option)]
     since: Option<String>,
@@ -32,7 +31,7 @@
 impl Timeline {
     pub(super) async fn run(&self) -> Result<(), Failure> {
         let path = format!("/v1/timeline?stored_hours={}", self.stored_hours);
-        let timeline: operator::Timeline = Interface::new(self.control).get(&path).await?;
+        let timeline: operator::Timeline = first(&self.control, &path).await?;
         for event in timeline.events.iter().filter(|event| self.wants(event)) {
             let TimelineEvent { time, process, kind, subject, detail, .. } = event;
             println!("{}", format!("{time} {process} {kind} {subject} {detail}").trim_end());
--- a/crates/cli/tests/document_files.rs
+++ b/crates/cli/tests/document_files.rs
@@ -75,6 +75,7 @@
     let propose = [&["propose"], &nobody[..], &["--base", "0", valid]].concat();
     assert_eq!(run(&propose).0, 1);
     assert_eq!(run(&[&["status"], &nobody[..]].concat()).0, 1);
+    assert_eq!(run(&["status"]).0, 2);
     assert_eq!(run(&["propose", valid]).0, 2);
     assert_eq!(run(&["diff", valid]).0, 2);
     assert_eq!(run(&["schema", "nothing"]).0, 2);
