--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod parts;
 pub mod publication;
+pub mod shares;
 pub mod source;
 pub mod state;
 pub mod survey;
@@ -38,6 +39,7 @@
         tokio::spawn(exchange::run(state.clone())),
         tokio::spawn(publication::run(state.clone())),
         tokio::spawn(timeline::run(state.clone())),
+        tokio::spawn(shares::record(state.clone())),
     ];
     let goodbye = async {
         stop.cancelled().await;
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -23,7 +23,7 @@
 use crate::{
     clock::{Dice, wall_millis},
     codec,
-    control::{State, listing, membership, timeline},
+    control::{State, listing, membership, shares, timeline},
     http::{Body, server::Handler},
     wire,
 };
@@ -152,6 +152,7 @@
         document: documents::section(state),
         signs: signs::section(state),
         listing: listing::section(state),
+        distribution: shares::section(state),
     }
 }
 
@@ -166,6 +167,7 @@
 async fn take_over(state: &State, heard: wire::Exchange) {
     let peer = heard.members.from.peer_address;
     state.hybrid.observe(Stamp::from_number(heard.stamp));
+    shares::take_over(state, &heard.members.from, &heard.distribution);
     let failed = [
         take_over_members(state, peer, &heard.members).await,
         signs::take_over(state, peer, heard.signs).await,
--- a/crates/node/src/control/membership.rs
+++ b/crates/node/src/control/membership.rs
@@ -193,13 +193,13 @@
         is_due
     }
 
-    fn condition(&self, is_drained: bool, has_document: bool, now: Instant) -> Condition {
+    fn condition(&self, is_drained: bool, has_shares: bool, now: Instant) -> Condition {
         let attendance = self.attendance();
         let is_served =
             attendance.visits > 0 || attendance.left.is_some_and(|left| now.since(left) < ABSENCE);
         let is_leaving =
             attendance.entry_is_stopping || attendance.control_is_stopping || is_drained;
-        match (is_served, has_document) {
+        match (is_served, has_shares) {
             (false, _) if attendance.control_is_stopping => Condition::Gone,
             _ if is_leaving => Condition::Leaving,
             (true, true) => Condition::Live,
@@ -234,14 +234,18 @@
 /// Brings the own state up to date, and records what changed in those of others.
 pub fn refresh(state: &State) {
     let now = state.clock.now();
-    let accepted = state.lock().accepted.as_ref().map(|accepted| Arc::clone(&accepted.draft));
+    let (accepted, has_shares) = {
+        let inner = state.lock();
+        let accepted = inner.accepted.as_ref().map(|accepted| Arc::clone(&accepted.draft));
+        (accepted, inner.shares.is_ready(now))
+    };
     let name = &state.settings.host.name;
     let zone = state.settings.host.zone.as_str();
     let is_drained = accepted.as_ref().is_some_and(|draft| {
         let mut zones = draft.drains.zones.iter().map(|zone| &draft.zones[usize::from(zone.0)]);
         draft.drains.entry_hosts.contains(name) || zones.any(|z| z.name.as_str() == zone)
     });
-    let condition = state.roster.condition(is_drained, state.is_ready(), now);
+    let condition = state.roster.condition(is_drained, has_shares && state.is_ready(), now);
     let (news, is_new) = {
         let mut members = state.roster.members();
         let before = members.own().state;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -7,7 +7,6 @@
     document::{self, Draft, Hash, Lesson, Shown, Standing, Version, raw},
     event::{Event, Hybrid, Kind},
     prelude::*,
-    shift::Slew,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -18,6 +17,7 @@
     control::{
         membership::Roster,
         parts::{self, Parts, Source},
+        shares::Shares,
         timeline::Journal,
     },
     http::client::{Client, Protocol},
@@ -111,8 +111,8 @@
     pub signs: Signs,
     /// The document's version and the list's hash whose signs have been noted.
     pub signs_source: (u64, String),
-    /// Shares in force, by service name and region of the caller.
-    pub shares: Map<String, Vec<Slew>>,
+    /// Shares in force, and what moves them.
+    pub shares: Shares,
     /// The latest snapshot for the entry daemon.
     pub snapshot: Option<Arc<wire::Snapshot>>,
     /// Events of this host.
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -31,6 +31,8 @@
     pub id: &'a str,
     /// The service.
     pub service: service::Index,
+    /// The region that the caller belongs to.
+    pub origin: region::Index,
     /// The region that shall serve it.
     pub region: region::Index,
     /// Whether it may be repeated.
--- a/crates/node/src/entry/feed.rs
+++ b/crates/node/src/entry/feed.rs
@@ -13,10 +13,10 @@
     event::{Kind, Stamp},
     prelude::*,
     service,
-    shift::{self, Vector},
+    shift::{self, Vector, board::SILENCE},
     snapshot,
 };
-use slog::warn;
+use slog::{info, warn};
 
 use crate::{
     codec,
@@ -29,8 +29,15 @@
     wire,
 };
 
-/// Longest time that the control daemon keeps a question for the next snapshot open.
-pub const POLL_LIMIT: Duration = Duration::from_secs(5);
+/// Longest time for one question for the next snapshot; the control daemon keeps it open for one
+/// second.
+const SNAPSHOT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Longest time to send an observation.
+const OBSERVATION_LIMIT: Duration = Duration::from_secs(5);
+
+/// The wait after a silence of the control daemon before callers are sent here again.
+const RESUME_PAUSE: Duration = Duration::from_secs(1);
 
 /// The wait after a failed question.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -38,9 +45,10 @@
 /// Follows the control daemon at `control` for ever.
 pub async fn run(state: State, control: SocketAddr) {
     let observer = tokio::spawn(report(state.clone(), control));
-    let mut feed = Feed { control, seen: 0, blocks: None };
+    let mut feed =
+        Feed { control, seen: 0, blocks: None, latest: None, answered_at: state.clock.now() };
     loop {
-        if let Err(error) = feed.step(&state).await {
+        if let Err(error) = feed.follow(&state).await {
             warn!(state.log, "no snapshot from control"; "error" => %error);
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -50,12 +58,13 @@
     }
 }
 
-/// Sends observations to the control daemon, each until it has taken it; those that do not fit
-/// the queue meanwhile are dropped.
+/// Sends observations to the control daemon: events until it has taken them, all others once, as
+/// they are seen again or out of date.
 async fn report(state: State, control: SocketAddr) {
     while let Some(observation) = state.next_observation().await {
         let Ok(body) = codec::to_wire(&observation).map(Bytes::from) else { continue };
-        while !is_taken(&state, control, body.clone()).await {
+        let is_kept = !observation.events.is_empty();
+        while !is_taken(&state, control, body.clone()).await && is_kept {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
@@ -64,7 +73,7 @@
 async fn is_taken(state: &State, control: SocketAddr, body: Bytes) -> bool {
     let request = Request::post(format!("http://{control}/observe")).body(Body::from(body));
     let Ok(request) = request else { return false };
-    let answered = state.control.call(request, POLL_LIMIT).await;
+    let answered = state.control.call(request, OBSERVATION_LIMIT).await;
     answered.is_ok_and(|(status, _)| status.is_success())
 }
 
@@ -72,6 +81,8 @@
     control: SocketAddr,
     seen: u64,
     blocks: Option<Blocks>,
+    latest: Option<snapshot::Input>,
+    answered_at: Instant,
 }
 
 /// Blocks of clients as they are in force.
@@ -94,9 +105,40 @@
 }
 
 impl Feed {
+    /// Asks for the next snapshot; while the control daemon is silent, callers are sent to
+    /// other hosts, because shares may move there without this one.
+    async fn follow(&mut self, state: &State) -> Result<(), Error> {
+        let answered = self.step(state).await;
+        let now = state.clock.now();
+        let is_silent = answered.is_err() && now.since(self.answered_at) >= SILENCE;
+        if answered.is_ok() {
+            self.answered_at = now;
+        }
+        let is_stale = self.latest.as_ref().is_some_and(|latest| latest.is_stale);
+        if is_silent && !is_stale {
+            self.mark(state, true);
+        }
+        if answered.is_ok() && is_stale {
+            // The control daemon finds out first how long it was paused.
+            tokio::time::sleep(RESUME_PAUSE).await;
+            self.step(state).await?;
+            self.mark(state, false);
+        }
+        answered
+    }
+
+    /// Publishes the latest snapshot again as stale or not.
+    fn mark(&mut self, state: &State, is_stale: bool) {
+        let Some(latest) = &mut self.latest else { return };
+        latest.is_stale = is_stale;
+        let prior = state.snapshot();
+        state.publish(Snapshot::new(latest.clone(), prior.as_deref()));
+        info!(state.log, "control daemon"; "silent" => is_stale);
+    }
+
     async fn step(&mut self, state: &State) -> Result<(), Error> {
         let path = format!("/snapshot/{}", self.seen);
-        let Some(body) = self.get(state, &path).await? else { return Ok(()) };
+        let Some(body) = self.get(state, &path, SNAPSHOT_LIMIT).await? else { return Ok(()) };
         let raw: wire::Snapshot = codec::from_wire(&body)?;
         let draft = document::Draft::try_from(&raw.document)?;
         let blocks = self.blocks(state, &raw).await?;
@@ -108,6 +150,7 @@
         if changed {
             state.record(Kind::InForce, input.version.to_string(), "");
         }
+        self.latest = Some(input.clone());
         state.publish(Snapshot::new(input, prior.as_deref()));
         Ok(())
     }
@@ -134,10 +177,15 @@
         Ok(index)
     }
 
-    async fn get(&self, state: &State, path: &str) -> Result<Option<Bytes>, Error> {
+    async fn get(
+        &self,
+        state: &State,
+        path: &str,
+        limit: Duration,
+    ) -> Result<Option<Bytes>, Error> {
         let request = Request::get(format!("http://{}{path}", self.control)).body(Body::empty());
         let request = request.map_err(|error| Error::Request(error.to_string()))?;
-        let (status, body) = state.control.call(request, POLL_LIMIT * 2).await?;
+        let (status, body) = state.control.call(request, limit).await?;
         match status {
             StatusCode::OK => Ok(Some(body)),
             StatusCode::NO_CONTENT => Ok(None),
@@ -154,19 +202,7 @@
     own: &entry::Name,
 ) -> Result<snapshot::Input, Error> {
     let zones = availability::by_name(&draft.zones);
-    let hosts = raw.hosts.iter().filter_map(|host| {
-        let zone = *zones.get(host.zone.as_str())?;
-        Some(Host {
-            name: entry::Name::try_from(host.name.as_str()).ok()?,
-            incarnation: host.incarnation(),
-            state: host.state.into(),
-            zone,
-            region: draft.zones[usize::from(zone.0)].region,
-            caller_address: host.caller_address,
-            relay_address: host.relay_address,
-        })
-    });
-    let hosts = hosts.collect();
+    let hosts = raw.hosts.iter().filter_map(|host| resolve(host, &draft)).collect();
     let named = (0u16..).zip(&draft.services);
     let services: Map<&str, service::Index> =
         named.map(|(i, service)| (service.name.as_str(), service::Index(i))).collect();
@@ -183,9 +219,13 @@
         })
     });
     let servers = servers.collect();
-    let vectors = |rows: Vec<Vec<u32>>| rows.into_iter().map(Vector::try_from).collect();
-    let shares: Result<Vec<Vec<Vector>>, shift::Error> =
-        raw.shares.into_iter().map(vectors).collect();
+    let rows = raw.shares.into_iter().zip(raw.failed).zip(raw.withheld);
+    let shares = rows.map(|((vectors, failed), withheld)| {
+        let vectors: Result<Vec<Vector>, shift::Error> =
+            vectors.into_iter().map(Vector::partial).collect();
+        Ok(snapshot::Shares { vectors: vectors?, failed, withheld })
+    });
+    let shares: Result<Vec<snapshot::Shares>, shift::Error> = shares.collect();
     Ok(snapshot::Input {
         version: document::Version(raw.version),
         blocks,
@@ -193,10 +233,25 @@
         servers,
         shares: shares?,
         own: own.clone(),
+        is_stale: false,
         draft: Arc::new(draft),
     })
 }
 
+/// Finds the zone of a host, or `None` if the document lacks it.
+pub fn resolve(host: &wire::Host, draft: &document::Draft) -> Option<Host> {
+    let zone = availability::find(&draft.zones, &host.zone)?;
+    Some(Host {
+        name: entry::Name::try_from(host.name.as_str()).ok()?,
+        incarnation: host.incarnation(),
+        state: host.state.into(),
+        zone,
+        region: draft.zones[usize::from(zone.0)].region,
+        caller_address: host.caller_address,
+        relay_address: host.relay_address,
+    })
+}
+
 /// Why a snapshot did not come into force.
 #[derive(Debug)]
 enum Error {
