--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod deployment;
 pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod sample;
 pub mod scale;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,10 +5,11 @@
 use argh::FromArgs;
 use oleanderspan_lab::{
     cost,
-    deployment::{Deployment, Ports},
+    deployment::{BUREAU, CUPRUL, Deployment, Ports},
     fleet,
     load::{self, Offer},
-    platform, sample,
+    measure::{self, Suite, contender},
+    platform, sample, scale,
 };
 
 /// Stand-ins and measures for tests and benchmarks.
@@ -24,6 +25,8 @@
     Platform(Platform),
     Fleet(Fleet),
     Sample(Sample),
+    Measure(Measure),
+    Scale(Scale),
     Load(Load),
     Cost(Cost),
 }
@@ -75,6 +78,67 @@
     }
 }
 
+/// Measure the policy under load, in virtual time.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "measure")]
+struct Measure {
+    /// cuprul or bureau; both if not given
+    #[argh(option)]
+    deployment: Option<String>,
+    /// the seed of all that is drawn
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// write JSON instead of tables
+    #[argh(switch)]
+    json: bool,
+    /// also draw pictures, as SVG files in this folder
+    #[argh(option)]
+    plot: Option<PathBuf>,
+}
+
+/// The length of a steady case.
+const MEASURE_LENGTH: Duration = Duration::from_secs(60);
+
+impl Measure {
+    fn run(&self) -> io::Result<()> {
+        let deployments = match self.deployment.as_deref() {
+            None => vec![&CUPRUL, &BUREAU],
+            Some(name) => vec![find(name)?],
+        };
+        for deployment in deployments {
+            let suite = Suite {
+                deployment,
+                seed: self.seed,
+                length: MEASURE_LENGTH,
+                contenders: contender::ALL,
+            };
+            let report = measure::run(&suite, self.plot.as_deref())
+                .map_err(|error| io::Error::other(error.to_string()))?;
+            if self.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Measure how state, time and messages grow; build with --release.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// blocks, sites, hosts, events or timeline
+    #[argh(positional)]
+    topic: String,
+}
+
+impl Scale {
+    fn run(&self) -> io::Result<()> {
+        scale::run(self.topic.as_str().try_into().map_err(io::Error::other)?)
+    }
+}
+
 /// Send load to the entry hosts of a running deployment and check what its servers ran.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "load")]
@@ -169,6 +233,8 @@
             }
             Command::Fleet(fleet) => fleet::run(&fleet.file).await,
             Command::Sample(sample) => sample.run(),
+            Command::Measure(measure) => measure.run(),
+            Command::Scale(scale) => scale.run(),
             Command::Load(load) => load.run().await,
             Command::Cost(cost) => cost.run().await,
         }
--- a/crates/node/tests/document_inputs.rs
+++ b/crates/node/tests/document_inputs.rs
@@ -16,12 +16,17 @@
     settings::{Raw, Settings},
     wire,
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use serde_json::{Value, json};
 
 const DOCUMENT: &str = include_str!("../../cli/tests/files/valid/full.json");
 const SETTINGS: &str = include_str!("files/valid/full.json");
 
+/// The seed is fixed, so that the verdict is the same every time.
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(29), ..ProptestConfig::default() }
+}
+
 /// Values that take the place of a valid one.
 fn replacements() -> impl Strategy<Value = Value> {
     prop_oneof![
@@ -75,7 +80,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(1_024))]
+    #![proptest_config(config(1_024))]
 
     #[test]
     fn damaged_documents_are_refused_by_place_or_keep_the_rules(bytes in damaged(DOCUMENT)) {
@@ -120,6 +125,8 @@
 }
 
 proptest! {
+    #![proptest_config(config(256))]
+
     #[test]
     fn names_are_kept_as_written_or_refused(text in "[a-zA-Z0-9-]{0,70}|.{0,5}") {
         let is_valid = (1..=63).contains(&text.len())
--- a/crates/node/tests/document_parts.rs
+++ b/crates/node/tests/document_parts.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use oleanderspan::document::{Hash, raw};
 use oleanderspan_node::control::parts::{Error, Parts, Source};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 /// A source that has the parts of a document, and may answer with other bytes.
 struct Held {
@@ -81,7 +81,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(8))]
+    #![proptest_config(ProptestConfig {
+        cases: 8,
+        rng_seed: RngSeed::Fixed(31),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn split_and_joined_documents_are_equal(
--- a/crates/oleanderspan/tests/document_record.rs
+++ b/crates/oleanderspan/tests/document_record.rs
@@ -8,7 +8,7 @@
     Hash, Lesson, Proposal, Record, Shown, Standing, Verdict, Version,
     record::{Current, Decision, MAX_OPERATIONS},
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 /// Steps of every interleaving that is walked.
 const DEPTH: u32 = 7;
@@ -182,6 +182,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(37), ..ProptestConfig::default() })]
+
     #[test]
     fn long_interleavings_have_one_winner_and_no_reversal(
         chosen in proptest::collection::vec(0..steps().len(), 0..200)
--- /dev/null
+++ b/crates/oleanderspan/tests/pool.rs
@@ -0,0 +1,95 @@
+//! A pool grants slots in turn, and cuts a hopeless queue.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::{cell::RefCell, net::Ipv4Addr, rc::Rc};
+
+use oleanderspan::{
+    availability,
+    backend::{Name, Pool, Server, Waiter, server::Identity},
+    prelude::*,
+};
+
+#[derive(Debug, PartialEq)]
+enum Told {
+    Granted(u32),
+    Refused(u32),
+}
+
+struct Ticket(u32, Rc<RefCell<Vec<Told>>>);
+
+impl Waiter for Ticket {
+    fn grant(self, _server: Arc<Server>) -> Result<(), Arc<Server>> {
+        self.1.borrow_mut().push(Told::Granted(self.0));
+        Ok(())
+    }
+
+    fn refuse(self) {
+        self.1.borrow_mut().push(Told::Refused(self.0));
+    }
+}
+
+const LIMIT: Duration = Duration::from_secs(2);
+
+fn at(millis: u64) -> Instant {
+    Instant::ZERO + Duration::from_millis(millis)
+}
+
+fn server(number: u16, slots: u32) -> Arc<Server> {
+    let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, number));
+    let identity = Identity { name, incarnation: 1 };
+    Arc::new(Server::new(identity, address, availability::Index(0), slots))
+}
+
+#[test]
+fn waiters_are_granted_in_turn() {
+    let pool = Pool::new();
+    pool.update(vec![server(1, 1)], 1);
+    let told = Rc::default();
+    let taken = pool.try_acquire().unwrap();
+    (1..=3).for_each(|i| pool.enqueue(Ticket(i, Rc::clone(&told)), LIMIT, at(0)));
+    assert!(pool.try_acquire().is_none());
+    (0..3).for_each(|_| pool.release(&taken, at(10)));
+    assert_eq!(*told.borrow(), [Told::Granted(1), Told::Granted(2), Told::Granted(3)]);
+    pool.release(&taken, at(10));
+    assert_eq!(pool.gate().in_flight(), 0);
+}
+
+#[test]
+fn a_hopeless_queue_is_cut_down_to_fresh_waiters() {
+    let pool = Pool::new();
+    pool.update(vec![server(1, 1)], 1);
+    let told = Rc::default();
+    let taken = pool.try_acquire().unwrap();
+    for (i, since) in [(1, 0), (2, 1_000), (3, 1_890), (4, 1_895)] {
+        pool.enqueue(Ticket(i, Rc::clone(&told)), LIMIT, at(since));
+    }
+    pool.release(&taken, at(1_900));
+    assert_eq!(*told.borrow(), [Told::Refused(1), Told::Refused(2), Told::Granted(3)]);
+    assert_eq!(pool.queued(), 1);
+}
+
+#[test]
+fn a_queue_that_merely_stands_is_not_cut() {
+    let pool = Pool::new();
+    pool.update(vec![server(1, 1)], 1);
+    let told = Rc::default();
+    let taken = pool.try_acquire().unwrap();
+    pool.enqueue(Ticket(1, Rc::clone(&told)), LIMIT, at(0));
+    pool.release(&taken, at(1_700));
+    assert_eq!(*told.borrow(), [Told::Granted(1)]);
+}
+
+#[test]
+fn a_slow_server_comes_last_and_a_long_request_makes_none_slow() {
+    let pool: Pool<Ticket> = Pool::new();
+    let (slow, quick) = (server(1, 2), server(2, 2));
+    pool.update(vec![Arc::clone(&slow), Arc::clone(&quick)], 4);
+    let usual = Duration::from_millis(20);
+    (0..20).for_each(|_| [&slow, &quick].iter().for_each(|server| pool.observe(server, usual)));
+    pool.observe(&quick, usual * 50);
+    (0..3).for_each(|_| pool.observe(&slow, usual * 10));
+    let chosen: Vec<u16> = (0..4).map(|_| pool.try_acquire().unwrap().address.port()).collect();
+    assert_eq!(chosen, [2, 2, 1, 1]);
+}
