--- a/crates/lab/src/scale/document.rs
+++ b/crates/lab/src/scale/document.rs
@@ -101,8 +101,9 @@
     let own = hosts[0].name.clone();
     let wired = wire::Snapshot {
         sequence: 1,
+        stamp: 1,
         version: 1,
-        blocks: String::new(),
+        blocks: codec::content_hash(&[]),
         hosts: hosts.iter().map(|host| wired(host, &draft)).collect(),
         servers: Vec::new(),
         shares: Vec::new(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,12 +7,17 @@
 pub mod listing;
 pub mod membership;
 pub mod operator;
+pub mod parts;
 pub mod publication;
 pub mod shares;
+pub mod source;
 pub mod state;
+pub mod survey;
+pub mod timeline;
 
 use std::io;
 
+use oleanderspan::event::Kind;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -33,6 +38,7 @@
         tokio::spawn(listing::watch(state.clone())),
         tokio::spawn(exchange::run(state.clone())),
         tokio::spawn(publication::run(state.clone())),
+        tokio::spawn(timeline::run(state.clone())),
         tokio::spawn(shares::record(state.clone())),
     ];
     let goodbye = async {
@@ -40,8 +46,10 @@
         exchange::say_goodbye(&state).await;
     };
     tokio::join!(server::serve(peers, exchange::Peer(state.clone()), stop.clone()), goodbye);
+    state.record(Kind::Stopping, "", "");
     for task in &tasks {
         task.abort();
     }
+    timeline::flush(&state).await;
     operators.close().await.map_err(io::Error::other)
 }
--- a/crates/node/src/control/exchange/documents.rs
+++ b/crates/node/src/control/exchange/documents.rs
@@ -2,11 +2,14 @@
 //! does also while the store is away.
 
 use http::{Response, StatusCode};
-use oleanderspan::{document::Version, prelude::*};
+use oleanderspan::{
+    document::{Hash, Shown, Version},
+    prelude::*,
+};
 
 use crate::{
     codec,
-    control::{State, exchange, state::Accepted},
+    control::{State, exchange, parts::MAX_BATCH, source},
     http::Body,
     wire,
 };
@@ -17,44 +20,33 @@
     let accepted = inner.accepted.as_ref();
     wire::Holding {
         version: accepted.map_or(0, |accepted| accepted.version.0),
-        document: accepted.map_or_else(String::new, |accepted| accepted.hash.clone()),
+        document: accepted.map(|accepted| accepted.hash),
     }
 }
 
-/// Fetches the document of a peer that has a later version in force.
+/// Fetches what this host lacks of the document of a peer that has a later version in force.
 pub(super) async fn take_over(
     state: &State,
     peer: SocketAddr,
     held: wire::Holding,
 ) -> Result<(), String> {
-    let known = state.lock().accepted.as_ref().map_or(Version::NONE, |a| a.version);
-    if Version(held.version) <= known {
-        return Ok(());
-    }
-    fetch_from(state, peer, Version(held.version), held.document).await
-}
-
-async fn fetch_from(
-    state: &State,
-    peer: SocketAddr,
-    version: Version,
-    hash: String,
-) -> Result<(), String> {
-    let body = exchange::get(state, peer, &format!("/document/{hash}")).await?;
-    if codec::hash(&body) != hash {
-        return Err(format!("peer does not have document {hash}"));
-    }
-    let raw = codec::from_wire(&body).map_err(|error| error.to_string())?;
-    let accepted = Accepted::new(version, hash, raw).map_err(|error| error.to_string())?;
-    state.put_in_force(accepted);
-    Ok(())
+    let Some(document) = held.document else { return Ok(()) };
+    let shown = Shown { version: Version(held.version), document };
+    let peer = source::Peer { client: &state.peers, address: peer };
+    state.learn(shown, &peer).await.map_err(|error| error.to_string())
 }
 
-/// Answers with the document in force if it has this content hash.
-pub(super) fn answer(state: &State, hash: &str) -> Response<Body> {
-    let accepted = state.lock().accepted.clone();
-    match accepted.filter(|accepted| accepted.hash == hash) {
-        Some(accepted) => exchange::wire(&*accepted.raw),
+/// Answers with parts of the document in force.
+pub(super) fn parts(state: &State, body: &[u8]) -> Response<Body> {
+    let Ok(hashes) = codec::from_wire::<Vec<Hash>>(body) else {
+        return exchange::status(StatusCode::BAD_REQUEST);
+    };
+    let Some(accepted) = state.accepted() else {
+        return exchange::status(StatusCode::NOT_FOUND);
+    };
+    let part = |hash: &Hash| Some(wire::Blob(accepted.parts.get(hash)?.clone()));
+    match hashes.iter().take(MAX_BATCH).map(part).collect() {
+        Some(parts) => exchange::wire(&wire::Parts { parts }),
         None => exchange::status(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/node/src/control/exchange/feed.rs
+++ b/crates/node/src/control/exchange/feed.rs
@@ -8,7 +8,7 @@
     control::{
         State,
         exchange::{self, signs},
-        membership, shares,
+        membership, shares, timeline,
     },
     http::Body,
     wire,
@@ -35,21 +35,13 @@
     exchange::status(StatusCode::NO_CONTENT)
 }
 
-/// Answers with the blocks of the document in force.
-pub(super) fn blocks(state: &State) -> Response<Body> {
-    let accepted = state.lock().accepted.clone();
-    match accepted {
-        Some(accepted) => exchange::wire(&wire::Blocks { blocks: accepted.raw.blocks.clone() }),
-        None => exchange::status(StatusCode::NOT_FOUND),
-    }
-}
-
 /// Takes over what the entry daemon saw.
 pub(super) fn observe(state: &State, body: &[u8]) -> Response<Body> {
     let Ok(observation) = codec::from_wire::<wire::Observation>(body) else {
         return exchange::status(StatusCode::BAD_REQUEST);
     };
     signs::note_all(state, &observation.leaving);
+    timeline::take_over(state, observation.events);
     if observation.stopping {
         state.roster.note_entry_stopping();
         membership::refresh(state);
--- a/crates/node/src/control/membership.rs
+++ b/crates/node/src/control/membership.rs
@@ -73,6 +73,16 @@
         hosts
     }
 
+    /// The start of this host.
+    pub fn incarnation(&self) -> Incarnation {
+        self.members().own().incarnation
+    }
+
+    /// Where the peer daemons of other hosts listen.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.members().peers().map(|member| member.peer_address).collect()
+    }
+
     /// The number of hosts that are not gone.
     pub fn count(&self) -> usize {
         self.members().peers().count() + 1
@@ -235,7 +245,7 @@
         let mut zones = draft.drains.zones.iter().map(|zone| &draft.zones[usize::from(zone.0)]);
         draft.drains.entry_hosts.contains(name) || zones.any(|z| z.name.as_str() == zone)
     });
-    let condition = state.roster.condition(is_drained, has_shares, now);
+    let condition = state.roster.condition(is_drained, has_shares && state.is_ready(), now);
     let (news, is_new) = {
         let mut members = state.roster.members();
         let before = members.own().state;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -1,10 +1,12 @@
 //! What our own processes send each other, as it is encoded.
 
+mod blob;
+
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use oleanderspan::{
     availability, backend,
-    document::raw,
+    document::{Hash, raw},
     entry::{
         self, Member,
         host::{Incarnation, State},
@@ -18,17 +20,22 @@
 };
 use serde::{Deserialize, Serialize};
 
+pub use blob::Blob;
+
 /// What is in force on a host, from its control daemon to its entry daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Counts the snapshots of one control daemon.
     pub sequence: u64,
+    /// The latest stamp of the control daemon.
+    #[serde(default)]
+    pub stamp: u64,
     /// The version of the document in force.
     pub version: u64,
     /// The document in force, without its blocks.
     pub document: raw::Document,
-    /// The content hash of the blocks, which are fetched only when they changed.
-    pub blocks: String,
+    /// The content hash of the blocks, of which only parts that changed are fetched.
+    pub blocks: Hash,
     /// Entry hosts that are not gone.
     pub hosts: Vec<Host>,
     /// Backend servers.
@@ -41,11 +48,11 @@
     pub withheld: Vec<Vec<u32>>,
 }
 
-/// The blocks of a document.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Blocks {
-    /// Sites by block.
-    pub blocks: BTreeMap<String, String>,
+/// Parts of a document, in the order in which their hashes were asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Parts {
+    /// The parts.
+    pub parts: Vec<Blob>,
 }
 
 /// An entry host.
@@ -167,6 +174,9 @@
     pub leaving: Vec<Sign>,
     /// Whether the entry daemon was told to stop.
     pub stopping: bool,
+    /// Events of the entry daemon.
+    #[serde(default)]
+    pub events: Vec<Happening>,
     /// What it counts in flight, if this is a report of that.
     pub loads: Option<Vec<Load>>,
 }
@@ -287,7 +297,7 @@
     /// The version; 0 before the first document.
     pub version: u64,
     /// The content hash of that document.
-    pub document: String,
+    pub document: Option<Hash>,
 }
 
 /// One exchange between control daemons; the answer has the same form.
