--- a/crates/lab/tests/at_most_once_pairs.rs
+++ b/crates/lab/tests/at_most_once_pairs.rs
@@ -231,3 +231,47 @@
     bench.until(async || send_to_all(&bench, [8], "stop").await == ["done"]).await;
     assert_eq!(bench.runs("stop").await, 1);
 }
+
+/// Starts a request that is dispatched when the store goes away.
+async fn dispatched_when_the_store_goes_away(
+    bench: &Bench,
+    key: &str,
+) -> tokio::task::JoinHandle<Result<Answer, Error>> {
+    let first = tokio::spawn(send(bench, 1, key, 2_000));
+    bench.until(async || bench.runs(key).await == 1).await;
+    bench.set_faults(&Faults { away: true, ..Faults::default() }).await;
+    first
+}
+
+#[tokio::test]
+async fn a_kill_while_the_store_is_away_leaves_the_key_held() {
+    let mut bench = start("kill-away").await;
+    let first = dispatched_when_the_store_goes_away(&bench, "kill-away").await;
+    bench.kill(1, Daemon::Entry);
+    assert_eq!(outcome(first.await.unwrap().ok().as_ref()), "");
+    let told = send_to_all(&bench, 2..=8, "kill-away").await;
+    assert!(told.iter().all(|told| told == "not-run"), "{told:?}");
+    bench.set_faults(&Faults::default()).await;
+    bench.launch(1, Daemon::Entry);
+    bench.until_ready(1).await;
+    let told = send_to_all(&bench, 1..=8, "kill-away").await;
+    assert!(told.iter().all(|told| told == "unknown"), "{told:?}");
+    assert_eq!(bench.runs("kill-away").await, 1);
+}
+
+#[tokio::test]
+async fn a_pause_while_the_store_is_away_keeps_the_outcome() {
+    let mut bench = start("pause-away").await;
+    let first = dispatched_when_the_store_goes_away(&bench, "pause-away").await;
+    bench.signal(1, Daemon::Entry, "STOP");
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let told = send_to_all(&bench, 2..=8, "pause-away").await;
+    assert!(told.iter().all(|told| told == "not-run"), "{told:?}");
+    bench.set_faults(&Faults::default()).await;
+    let told = send_to_all(&bench, 2..=8, "pause-away").await;
+    assert!(told.iter().all(|told| told == "unknown"), "{told:?}");
+    bench.signal(1, Daemon::Entry, "CONT");
+    assert_eq!(outcome(first.await.unwrap().ok().as_ref()), "done");
+    bench.until(async || send_to_all(&bench, [8], "pause-away").await == ["done"]).await;
+    assert_eq!(bench.runs("pause-away").await, 1);
+}
--- /dev/null
+++ b/crates/oleanderspan/tests/claim_job.rs
@@ -0,0 +1,60 @@
+//! When a job may be tried again, and when its outcome is given up.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::time::Duration;
+
+use oleanderspan::request::{
+    Job,
+    claim::State as Claimed,
+    job::{Runner, Sight, State},
+};
+
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+fn runner(host: &str, incarnation: u64) -> Runner {
+    Runner { host: host.into(), incarnation }
+}
+
+fn is_lost(runner: &Runner, own: &Runner, is_listed: bool, seen_s: u64) -> bool {
+    let seen_for = Duration::from_secs(seen_s);
+    runner.is_lost(Sight { own, is_listed, seen_for, request_timeout: TIMEOUT })
+}
+
+#[test]
+fn a_runner_is_lost_by_its_restart_its_absence_or_its_age() {
+    let own = runner("a", 7);
+    assert!(!is_lost(&runner("a", 7), &own, true, 10_000), "this start itself");
+    assert!(is_lost(&runner("a", 6), &own, true, 0), "an earlier start of this host");
+    let other = runner("b", 1);
+    assert!(!is_lost(&other, &own, false, 10), "gone for a moment");
+    assert!(is_lost(&other, &own, false, 11), "gone for long");
+    assert!(!is_lost(&other, &own, true, 4 * 60), "within four time limits");
+    assert!(is_lost(&other, &own, true, 4 * 60 + 1), "over four time limits");
+}
+
+#[test]
+fn a_job_that_did_not_run_waits_longer_each_time_up_to_a_minute() {
+    let mut job = Job::new("op", "digest");
+    assert!(job.is_due(0));
+    let mut waits = Vec::new();
+    for _ in 0..10 {
+        let next = job.requeued(1_000);
+        assert_eq!((&next.state, next.attempts), (&State::Queued, job.attempts + 1));
+        assert!(!next.is_due(next.due_ms - 1) && next.is_due(next.due_ms));
+        waits.push((next.due_ms - 1_000) / 1_000);
+        job = next;
+    }
+    assert_eq!(waits, [1, 2, 4, 8, 16, 32, 60, 60, 60, 60]);
+    job.attempts = u32::MAX;
+    assert_eq!(job.requeued(u64::MAX).due_ms, u64::MAX);
+}
+
+#[test]
+fn only_a_queued_job_may_be_claimed() {
+    let job = |state| Job { state, ..Job::new("op", "digest") }.claim().state;
+    assert_eq!(job(State::Queued), Claimed::Released);
+    assert_eq!(job(State::Running(runner("a", 1))), Claimed::Held);
+    assert_eq!(job(State::InDoubt), Claimed::Held);
+    assert!(matches!(job(State::Done), Claimed::Done(_)));
+}
