--- /dev/null
+++ b/crates/node/src/control/shares/record.rs
@@ -0,0 +1,97 @@
+//! The recorded shares in the platform's table, from which a system starts that lost all hosts.
+
+use oleanderspan::{
+    document::Version,
+    entry::rank,
+    prelude::*,
+    shift::{Statement, board::Recorded},
+};
+use slog::debug;
+
+use crate::{
+    codec,
+    control::State,
+    store::{self, Expect, Transaction, Write},
+    wire,
+};
+
+/// The mean time between two looks at the recorded shares while nothing is in force.
+const LEARN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The mean time between two looks at whether the recorded shares are still those in force.
+const RECORD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Reads the recorded shares while this host learns, and records those in force if it is the
+/// first by rank, for ever.
+pub async fn record(state: State) {
+    let mut known: Option<(Version, String)> = None;
+    loop {
+        let is_learning = !state.lock().shares.board.is_in_force();
+        let interval = if is_learning { LEARN_INTERVAL } else { RECORD_INTERVAL };
+        let jitter = rand::random_range(0.75..1.25);
+        tokio::time::sleep(interval.mul_f64(jitter)).await;
+        let done = match is_learning {
+            true => learn(&state).await,
+            false if is_first(&state) => keep(&state, &mut known).await,
+            false => Ok(()),
+        };
+        if let Err(error) = done {
+            known = None;
+            debug!(state.log, "shares not recorded or read"; "error" => %error);
+        }
+    }
+}
+
+async fn learn(state: &State) -> Result<(), store::Error> {
+    if *state.lock().shares.board.recorded() != Recorded::Unknown {
+        return Ok(());
+    }
+    let recorded = match read(state).await? {
+        None => Recorded::Nothing,
+        Some((_, text)) => {
+            let raw: wire::Shares = codec::from_json(text.as_bytes())?;
+            let statement = Statement::try_from(&raw);
+            Recorded::Shares(statement.map_err(|error| store::Error::Protocol(error.to_string()))?)
+        }
+    };
+    state.lock().shares.board.note_recorded(recorded);
+    state.changed.notify_one();
+    Ok(())
+}
+
+/// Writes the shares in force unless the row has them; an unanswered write is settled by
+/// reading the row the next time.
+async fn keep(state: &State, known: &mut Option<(Version, String)>) -> Result<(), store::Error> {
+    let Some(shares) = state.lock().shares.message() else { return Ok(()) };
+    let value = String::from_utf8_lossy(&codec::to_json(&shares)?).into_owned();
+    if known.is_none() {
+        *known = read(state).await?;
+    }
+    if known.as_ref().is_some_and(|(_, text)| *text == value) {
+        return Ok(());
+    }
+    let version = known.take().map(|(version, _)| version);
+    let expect = version.map_or(Expect::Absent, |version| Expect::Version(version.0));
+    let write = Write { key: row_key(state), expect, value: value.clone() };
+    state.store.transact(&Transaction { writes: vec![write] }).await?;
+    *known = Some((version.unwrap_or(Version::NONE).next(), value));
+    Ok(())
+}
+
+async fn read(state: &State) -> Result<Option<(Version, String)>, store::Error> {
+    let rows = state.store.read(vec![row_key(state)]).await?;
+    Ok(rows.into_iter().next().map(|row| (Version(row.version), row.value)))
+}
+
+fn row_key(state: &State) -> String {
+    format!("shares/{}", state.settings.environment)
+}
+
+/// Whether this host is the first by rank among those that are live.
+fn is_first(state: &State) -> bool {
+    let own = state.settings.host.name.as_str();
+    let mut hosts = state.roster.hosts();
+    hosts.retain(|host| host.state == wire::HostState::Live);
+    let first = rank::first(&hosts, &row_key(state), |host| &host.name);
+    first.is_some_and(|first| first.name == own)
+}
