Let the process test of a shift name the cap before the faults

Cause: without the rate limit of shares both tests of shift_processes fail, as they must, but the planned one said only that the shift ended before the faults did.

Change: the assertions on the cap come first.

Conclusion: seen to fail without Cap::step's limit (0 of 2 passed); 2 of 2 pass with it.

--- a/crates/lab/tests/shift_processes.rs
+++ b/crates/lab/tests/shift_processes.rs
@@ -229,9 +229,9 @@
     stop.store(true, Ordering::SeqCst);
     let (in_force, run) = (greatest_rise(&samples), greatest_rise_run(&samples));
     println!("{:?}: in force {in_force}, run {run}", started.elapsed());
-    assert!(step == 6, "the shift ended before the faults did");
     assert!(in_force <= 600_000.0, "{in_force} ppm in force over the cap of 60 percent");
     assert!(run <= 600_000.0 + WHOLE_REQUESTS_PPM, "{run} ppm ran over the cap of 60 percent");
+    assert!(step == 6, "the shift ended before the faults did");
     assert_eq!(told.unknown.load(Ordering::SeqCst), 0);
 }
 
