--- a/crates/lab/src/measure/contender.rs
+++ b/crates/lab/src/measure/contender.rs
@@ -30,6 +30,8 @@
     Divided,
     /// One dispatching host with one queue: the code in use.
     Dispatched,
+    /// One queue with perfect knowledge on a host, so that ways cost what they cost.
+    Placed,
     /// One queue with perfect knowledge.
     Ideal,
 }
@@ -41,6 +43,7 @@
     Contender::Least,
     Contender::TwoChoices,
     Contender::Dispatched,
+    Contender::Placed,
     Contender::Ideal,
 ];
 
@@ -61,6 +64,7 @@
             Contender::TwoChoices => "two choices",
             Contender::Divided => "divided slots",
             Contender::Dispatched => "oleanderspan",
+            Contender::Placed => "ideal on a host",
             Contender::Ideal => "ideal",
         }
     }
@@ -78,6 +82,10 @@
             Contender::Dispatched => {
                 run(case, limits, seed, |region| Pooled::dispatched(&case.topology, region))
             }
+            Contender::Placed => run(case, limits, seed, |region| {
+                Ideal::new(&servers(case, region), case.topology.servers.len())
+                    .placed(case.topology.hosts_of(region).next())
+            }),
             Contender::Ideal => run(case, limits, seed, |region| {
                 Ideal::new(&servers(case, region), case.topology.servers.len())
             }),
--- a/crates/lab/src/measure/policy/ideal.rs
+++ b/crates/lab/src/measure/policy/ideal.rs
@@ -12,12 +12,23 @@
     servers: Vec<usize>,
     in_flight: Vec<u32>,
     queue: VecDeque<(usize, usize)>,
+    dispatcher: Option<usize>,
 }
 
 impl Ideal {
     /// An ideal queue before `servers`, of `all` servers.
     pub fn new(servers: &[usize], all: usize) -> Ideal {
-        Ideal { servers: servers.to_vec(), in_flight: vec![0; all], queue: VecDeque::new() }
+        Ideal {
+            servers: servers.to_vec(),
+            in_flight: vec![0; all],
+            queue: VecDeque::new(),
+            dispatcher: None,
+        }
+    }
+
+    /// The same queue on a host, so that ways and connections cost what they cost.
+    pub fn placed(self, dispatcher: Option<usize>) -> Ideal {
+        Ideal { dispatcher, ..self }
     }
 
     fn take(&mut self, view: View<'_>) -> Option<usize> {
@@ -38,6 +49,10 @@
 }
 
 impl Policy for Ideal {
+    fn decider(&self, host: usize) -> usize {
+        self.dispatcher.unwrap_or(host)
+    }
+
     fn offer(&mut self, request: usize, decider: usize, view: View<'_>) -> Decision {
         if let Some(server) = self.queue.is_empty().then(|| self.take(view)).flatten() {
             return Decision::Start(server);
@@ -72,6 +87,6 @@
     fn see_leaving(&mut self, _decider: usize, _server: usize, _view: View<'_>) {}
 
     fn pays_for_ways(&self) -> bool {
-        false
+        self.dispatcher.is_some()
     }
 }
