--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
     fleet,
     load::{self, Offer},
     measure::{self, Suite, contender},
-    platform, sample,
+    platform, sample, scale,
 };
 
 /// Stand-ins and measures for tests and benchmarks.
@@ -26,6 +26,7 @@
     Fleet(Fleet),
     Sample(Sample),
     Measure(Measure),
+    Scale(Scale),
     Load(Load),
     Cost(Cost),
 }
@@ -123,6 +124,21 @@
     }
 }
 
+/// Measure how state, time and messages grow; build with --release.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// blocks, sites, hosts, events or timeline
+    #[argh(positional)]
+    topic: String,
+}
+
+impl Scale {
+    fn run(&self) -> io::Result<()> {
+        scale::run(self.topic.as_str().try_into().map_err(io::Error::other)?)
+    }
+}
+
 /// Send load to the entry hosts of a running deployment and check what its servers ran.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "load")]
@@ -218,6 +234,7 @@
             Command::Fleet(fleet) => fleet::run(&fleet.file).await,
             Command::Sample(sample) => sample.run(),
             Command::Measure(measure) => measure.run(),
+            Command::Scale(scale) => scale.run(),
             Command::Load(load) => load.run().await,
             Command::Cost(cost) => cost.run().await,
         }
--- a/crates/lab/src/measure/steering.rs
+++ b/crates/lab/src/measure/steering.rs
@@ -3,7 +3,10 @@
 use oleanderspan::{
     prelude::*,
     region,
-    shift::{Cap, Diffuser, Slew, Vector, slew::Permit},
+    shift::{
+        Cap, Diffuser, Slew, Vector,
+        slew::{Permit, Range},
+    },
 };
 
 use crate::measure::case::Topology;
@@ -51,14 +54,18 @@
     /// Moves all shares as far as their caps allow.
     pub fn advance(&mut self, now: Instant) {
         for route in self.routes.iter_mut().flatten() {
-            route.slew.advance(&route.target, &route.cap, Permit::Go, now);
+            // All hosts of a run move alike, so that none has to stay near the others.
+            let range = Range::any(route.target.shares().len());
+            route.slew.advance(&route.target, &route.cap, Permit::Go, &range, now);
         }
     }
 
     /// The region of the next request.
     pub fn next(&self, host: usize, origin: usize) -> usize {
         let route = &self.routes[host][origin];
-        usize::from(route.diffuser.next(route.slew.shares()).0)
+        // The shares of a run always add up to the whole, so that some region is next.
+        let next = route.diffuser.next(route.slew.shares());
+        next.map_or(origin, |region| usize::from(region.0))
     }
 
     /// The shares in force for callers of `origin`; all hosts move alike.
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -23,7 +23,7 @@
 use crate::{
     clock::{Dice, wall_millis},
     codec,
-    control::{State, listing, membership},
+    control::{State, listing, membership, shares},
     http::{Body, server::Handler},
     wire,
 };
@@ -151,6 +151,7 @@
         document: documents::section(state),
         signs: signs::section(state),
         listing: listing::section(state),
+        distribution: shares::section(state),
     }
 }
 
@@ -165,6 +166,7 @@
 async fn take_over(state: &State, heard: wire::Exchange) {
     let peer = heard.members.from.peer_address;
     state.hybrid.observe(Stamp::from_number(heard.stamp));
+    shares::take_over(state, &heard.members.from, &heard.distribution);
     let failed = [
         take_over_members(state, peer, &heard.members).await,
         signs::take_over(state, peer, heard.signs).await,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,6 +6,8 @@
 pub mod feed;
 pub mod front;
 pub mod health;
+pub mod jobs;
+pub mod measure;
 pub mod parcel;
 pub mod refusal;
 pub mod relay;
@@ -33,6 +35,8 @@
     let state = State::start(&settings, log)?;
     let counts = tokio::spawn(send_counts(state.clone()));
     let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
+    tokio::spawn(jobs::runner::run(state.clone()));
+    let measure = tokio::spawn(measure::run(state.clone(), settings.control.peer_address));
     // Other hosts relay to this one until they learn that it leaves, so the relay port stays
     // open until the callers of this host are served.
     let relays_stop = CancellationToken::new();
@@ -45,6 +49,7 @@
     relays_stop.cancel();
     let _ = relay.await;
     feed.abort();
+    measure.abort();
     health.abort();
     counts.abort();
     Ok(())
--- a/crates/node/src/entry/stop.rs
+++ b/crates/node/src/entry/stop.rs
@@ -88,7 +88,7 @@
 
 /// Tells the control daemon, which tells the other hosts; without it they notice by its silence.
 async fn notify(state: State, control: SocketAddr) {
-    let notice = wire::Observation { leaving: Vec::new(), stopping: true };
+    let notice = wire::Observation { stopping: true, ..wire::Observation::default() };
     let Ok(body) = codec::to_wire(&notice) else { return };
     let body = Bytes::from(body);
     loop {
