Send a read to another server when the first one seems frozen

Cause: nothing sent hedges, so a read whose server froze waited for the time limit of the request; in the new test a read of a pool of two servers, one of them frozen, had no answer after 30 s (TimedOut).

Change: a read that has waited 20 times the pool's typical latency, and 1.2 s at least, goes to another server as well, if the first answered nothing meanwhile, not even a question about its health. The first answer wins and the other request is cancelled. The server becomes the last choice until it answers a request. Hedges keep to the document's budget, which starts with what it may save up, as a freeze catches several reads at once.

--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -1,5 +1,8 @@
 //! The last hop: a slot of a backend server, the request, and what its answer proves.
 
+use std::pin::pin;
+
+use futures_util::future::Either;
 use http::{Response, header};
 use hyper::body::{Body as _, Incoming};
 use oleanderspan::{
@@ -29,6 +32,13 @@
 /// The mean time that a slot counts as taken after its server shed a request.
 const SHED_PAUSE: Duration = Duration::from_millis(250);
 
+/// The time after which a read whose server seems frozen goes to another as well, in multiples
+/// of the pool's typical latency.
+const HEDGE_FACTOR: u32 = 20;
+
+/// The least such time; a sound server answers a question about its health meanwhile.
+const LEAST_HEDGE_DELAY: Duration = Duration::from_millis(1_200);
+
 /// What a hop has to know of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Call<'a> {
@@ -107,43 +117,99 @@
     let limits = &snapshot.described(call.service).limits;
     let wait = call.left(state.clock.now())?.min(limits.queue_timeout);
     let lease = slot::acquire(snapshot.pool(call.service, call.region), state.clock, wait).await?;
+    let server = lease.server().cloned().ok_or(Refusal::NoServer)?;
+    let first = send(state, snapshot, call, parcel, lease)?;
+    if call.repeat == Repeat::Forbidden || !parcel.can_send() {
+        return first.await;
+    }
+    hedge(state, snapshot, call, parcel, first, &server).await
+}
+
+/// Waits for the answer of a read, and sends it to another server as well if the first one seems
+/// frozen; the first answer wins, and the other request is cancelled with its future.
+async fn hedge(
+    state: &Shared,
+    snapshot: &Snapshot,
+    call: Call<'_>,
+    parcel: &mut Parcel,
+    first: impl Future<Output = Result<Answer, Refusal>>,
+    server: &Server,
+) -> Result<Answer, Refusal> {
+    let pool = snapshot.pool(call.service, call.region);
+    snapshot.hedges(call.service).earn();
+    let sent_at = state.clock.now();
+    let mut first = pin!(first);
+    let delay = (pool.typical_latency() * HEDGE_FACTOR).max(LEAST_HEDGE_DELAY);
+    if let Ok(answered) = tokio::time::timeout(delay, &mut first).await {
+        return answered;
+    }
+    // A server that answers others is not frozen: the request is long by itself, and a second
+    // one would only take another slot for as long.
+    if server.has_answered_since(sent_at) {
+        return first.await;
+    }
+    server.suspect();
+    if !snapshot.hedges(call.service).try_spend() {
+        return first.await;
+    }
+    let Some(lease) = slot::try_acquire_other(pool, state.clock, server) else {
+        return first.await;
+    };
+    debug!(state.log, "hedge"; "request" => call.id, "server" => %server.identity.name);
+    let mut second = pin!(send(state, snapshot, call, parcel, lease)?);
+    let (answered, other) = tokio::select! {
+        answered = &mut first => (answered, Either::Right(second)),
+        answered = &mut second => (answered, Either::Left(first)),
+    };
+    match answered {
+        Ok(answer) => Ok(answer),
+        Err(refusal) => other.await.map_err(|later| weaker(refusal, later)),
+    }
+}
+
+/// Of two refusals of one request the one that proves less.
+fn weaker(one: Refusal, other: Refusal) -> Refusal {
+    if one.outcome() == Outcome::Unknown { one } else { other }
+}
+
+/// Prepares the request to the server of a lease; the answer proves what became of it.
+fn send<'a>(
+    state: &'a Shared,
+    snapshot: &'a Snapshot,
+    call: Call<'_>,
+    parcel: &mut Parcel,
+    lease: Lease,
+) -> Result<impl Future<Output = Result<Answer, Refusal>> + use<'a>, Refusal> {
     let server = lease.server().cloned().ok_or(Refusal::NoServer)?;
     let left = call.left(state.clock.now())?;
     let headers = &mut parcel.head_mut().headers;
-    headers.insert(
-        names::TIMEOUT_MS,
-        left.as_millis().to_string().parse().unwrap_or(names::value("")),
-    );
+    headers.insert(names::TIMEOUT_MS, names::value(&left.as_millis().to_string()));
     let request = parcel.send_to(server.address).ok_or(Refusal::Broken)?;
-    let sent_at = state.clock.now();
-    let answered = tokio::time::timeout(left, state.servers.send(request)).await;
-    let answer = match answered {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(client::Error::Connect(_))) => {
-            server.observe_failure();
-            return Err(Refusal::Unreachable);
-        }
-        Ok(Err(_)) => {
-            server.observe_failure();
-            return Err(Refusal::Broken);
+    let pool = snapshot.pool(call.service, call.region);
+    Ok(async move {
+        let sent_at = state.clock.now();
+        let answered = tokio::time::timeout(left, state.servers.send(request)).await;
+        let answer = answered.map_err(|_| Refusal::TimedOut).and_then(|sent| {
+            sent.map_err(|error| match error {
+                client::Error::Connect(_) => Refusal::Unreachable,
+                _ => Refusal::Broken,
+            })
+        });
+        let answer = answer.inspect_err(|_| server.observe_failure())?;
+        let now = state.clock.now();
+        server.note_answer(now);
+        note_leaving(state, &server, &answer);
+        if names::text(answer.headers(), &names::OUTCOME) == Some(Outcome::NotRun.as_str()) {
+            hold(lease);
+            return Err(Refusal::Shed);
         }
-        Err(_) => {
+        if is_unframed(&answer) {
             server.observe_failure();
-            return Err(Refusal::TimedOut);
+            return Err(Refusal::Unframed);
         }
-    };
-    note_leaving(state, &server, &answer);
-    if names::text(answer.headers(), &names::OUTCOME) == Some(Outcome::NotRun.as_str()) {
-        hold(lease);
-        return Err(Refusal::Shed);
-    }
-    if is_unframed(&answer) {
-        server.observe_failure();
-        return Err(Refusal::Unframed);
-    }
-    let latency = state.clock.now().since(sent_at);
-    snapshot.pool(call.service, call.region).observe(&server, latency);
-    Ok(answer_of(answer, lease))
+        pool.observe(&server, now.since(sent_at));
+        Ok(answer_of(answer, lease))
+    })
 }
 
 /// Keeps a slot taken for a while whose server said that it had none free: somebody else has
--- a/crates/node/src/entry/health.rs
+++ b/crates/node/src/entry/health.rs
@@ -50,6 +50,9 @@
         let findings = futures_util::future::join_all(asked).await;
         let mut seen = Map::default();
         for (server, finding) in servers.iter().zip(findings) {
+            if finding != Finding::Silent {
+                server.note_answer(state.clock.now());
+            }
             let identity = (server.identity.name.to_string(), server.identity.incarnation);
             let before = refusals.get(&identity).copied().unwrap_or(0);
             let now = match finding {
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -20,9 +20,6 @@
     }
 }
 
-/// Failed attempts in a row after which a server is chosen only if no other has a free slot.
-const SUSPECT_FAILURES: u32 = 3;
-
 /// How many times the typical latency makes a server slow, in percent.
 const SLOW_PERCENT: u64 = 250;
 
@@ -226,7 +223,7 @@
         let free = candidates.filter(|server| server.free() > 0);
         let typical = self.typical_nanos.load(Ordering::Relaxed);
         let slow = Duration::from_nanos(typical.saturating_mul(SLOW_PERCENT) / 100);
-        let is_sound = |server: &Server| server.failures() < SUSPECT_FAILURES;
+        let is_sound = |server: &Server| !server.is_suspect();
         free.max_by_key(|server| (is_sound(server), server.latency() <= slow, server.free()))
     }
 }
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -15,6 +15,9 @@
     }
 }
 
+/// Failed attempts in a row after which a server is chosen only if no other has a free slot.
+const SUSPECT_FAILURES: u32 = 3;
+
 /// The weight of a new sample in the moving average of latency, as a divisor.
 const SAMPLE_DIVISOR: u64 = 8;
 
@@ -34,6 +37,7 @@
     leaving: AtomicBool,
     latency_nanos: AtomicU64,
     failures: AtomicU32,
+    answered_at: AtomicU64,
 }
 
 impl Server {
@@ -53,6 +57,7 @@
             leaving: AtomicBool::new(false),
             latency_nanos: AtomicU64::new(0),
             failures: AtomicU32::new(0),
+            answered_at: AtomicU64::new(0),
         }
     }
 
@@ -107,11 +112,31 @@
         let _ = self.latency_nanos.fetch_update(Ordering::Relaxed, Ordering::Relaxed, mix);
     }
 
+    /// Takes note that the server answered something.
+    pub fn note_answer(&self, now: Instant) {
+        self.answered_at.fetch_max(now.as_nanos(), Ordering::Relaxed);
+    }
+
+    /// Whether the server answered anything after `since`; one that did not may be frozen.
+    pub fn has_answered_since(&self, since: Instant) -> bool {
+        self.answered_at.load(Ordering::Relaxed) > since.as_nanos()
+    }
+
     /// Counts a failed attempt.
     pub fn observe_failure(&self) {
         self.failures.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Makes the server the last choice until it answers a request, as after many failures.
+    pub fn suspect(&self) {
+        self.failures.fetch_max(SUSPECT_FAILURES, Ordering::Relaxed);
+    }
+
+    /// Whether the server is the last choice because of failures.
+    pub fn is_suspect(&self) -> bool {
+        self.failures() >= SUSPECT_FAILURES
+    }
+
     /// Failed attempts since the last answer.
     pub fn failures(&self) -> u32 {
         self.failures.load(Ordering::Relaxed)
--- a/crates/oleanderspan/src/request/retry.rs
+++ b/crates/oleanderspan/src/request/retry.rs
@@ -23,6 +23,12 @@
         Budget { share: i64::from(share.get()), credit: AtomicI64::new(ATTEMPT) }
     }
 
+    /// A budget with as many extra attempts saved up as it may hold, for faults that come at once.
+    pub fn saved(share: Percent) -> Budget {
+        let credit = if share.get() == 0 { 0 } else { MAX_SAVED };
+        Budget { share: i64::from(share.get()), credit: AtomicI64::new(credit) }
+    }
+
     /// Counts a first attempt.
     pub fn earn(&self) {
         let earn = |credit: i64| Some((credit + self.share).min(MAX_SAVED));
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -329,7 +329,10 @@
             ),
             cap: service.shift.clone(),
             retries: kept.map_or_else(|| budget(limits.retries), |row| Arc::clone(&row.retries)),
-            hedges: kept.map_or_else(|| budget(limits.hedges), |row| Arc::clone(&row.hedges)),
+            hedges: kept.map_or_else(
+                || Arc::new(request::retry::Budget::saved(limits.hedges)),
+                |row| Arc::clone(&row.hedges),
+            ),
         }
     }
 }
