Look for jobs every 3 s instead of every second

Cause: two hosts that looked for jobs each second added 2 reads a second to the table, and membership_processes saw 8.5 reads a second where 8 is the most. Change: the first look comes 1 s after a start, the others 3 s apart (with jitter), 0.7 reads a second in all. Who accepts a job still runs it at once. Conclusion: a job whose host dies waits up to 4.5 s for another; the test is left as it is.

--- a/crates/node/src/entry/jobs/runner.rs
+++ b/crates/node/src/entry/jobs/runner.rs
@@ -32,8 +32,11 @@
     store::{self, Write},
 };
 
-/// The mean time between two looks at the jobs.
-const SCAN_INTERVAL: Duration = Duration::from_secs(1);
+/// The mean time between two looks at the jobs, each of which reads all of them.
+const SCAN_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The mean time from the start of a daemon to its first look.
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
 
 /// Hosts that look for jobs, so that the table is not read by all.
 const READERS: usize = 2;
@@ -50,7 +53,8 @@
     let mut is_first = true;
     let closed = state.stop.closed();
     loop {
-        let pause = SCAN_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
+        let pause = if is_first { FIRST_PAUSE } else { SCAN_INTERVAL };
+        let pause = pause.mul_f64(rand::random_range(0.5..1.5));
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = closed.cancelled() => return,
