--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -33,6 +33,8 @@
     pub delay_ms: u64,
     /// Lose the answers of this share of writes after they took effect, in percent.
     pub lost_answers_percent: u8,
+    /// Lose the answer of the next write after it took effect, and refuse every call from then.
+    pub away_after_write: bool,
     /// Lose the answers of so many of the next writes after they took effect.
     pub lose_next_answers: u32,
     /// Let so many of the next writes take effect late, without an answer.
@@ -50,10 +52,10 @@
     pub transactions: u64,
     /// Rows that transactions wrote.
     pub rows: u64,
-    /// Reads of rows and scans.
+    /// Reads of rows by their keys.
     pub reads: u64,
-    /// Reads that ask for the row of an environment, also counted as reads.
-    pub environments: u64,
+    /// Scans of rows by a prefix.
+    pub scans: u64,
     /// Objects stored or read.
     pub objects: u64,
     /// Reads of the list.
@@ -150,20 +152,24 @@
     fn read(&self, keys: &Keys) -> Rows {
         let mut inner = self.lock();
         inner.counts.reads += 1;
-        if keys.keys.iter().any(|key| key.starts_with("environment/")) {
-            inner.counts.environments += 1;
-        }
         Rows { rows: keys.keys.iter().filter_map(|key| inner.rows.get(key).cloned()).collect() }
     }
 
     fn scan(&self, prefix: &str) -> Rows {
         let mut inner = self.lock();
-        inner.counts.reads += 1;
+        inner.counts.scans += 1;
         let found = inner.rows.range(prefix.to_owned()..);
         let found = found.take_while(|(key, _)| key.starts_with(prefix));
         Rows { rows: found.map(|(_, row)| row.clone()).collect() }
     }
 
+    fn names(&self, prefix: &str) -> Vec<String> {
+        let mut inner = self.lock();
+        inner.counts.objects += 1;
+        let found = inner.objects.range(prefix.to_owned()..);
+        found.map(|(name, _)| name.clone()).take_while(|name| name.starts_with(prefix)).collect()
+    }
+
     fn list(&self) -> List {
         let mut inner = self.lock();
         inner.counts.lists += 1;
@@ -195,6 +201,9 @@
         if let Some(prefix) = path.strip_prefix("/v1/table/scan/") {
             return json(StatusCode::OK, &self.scan(prefix));
         }
+        if let Some(prefix) = path.strip_prefix("/v1/names/") {
+            return json(StatusCode::OK, &self.names(prefix));
+        }
         let Some(name) = path.strip_prefix("/v1/objects/") else {
             return status(StatusCode::NOT_FOUND);
         };
@@ -260,6 +269,10 @@
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let answer = self.call(&head.method, head.uri.path(), &body);
+        if is_write && faults.away_after_write {
+            self.lock().faults.away = true;
+            std::future::pending::<()>().await;
+        }
         let by_chance = rand::random_range(0..100) < faults.lost_answers_percent;
         let is_lost = || by_chance || self.take_fault(|faults| &mut faults.lose_next_answers);
         if is_write && is_lost() {
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -23,7 +23,7 @@
 use crate::{
     clock::{Dice, wall_millis},
     codec,
-    control::{State, listing, membership, shares},
+    control::{State, listing, membership, shares, timeline},
     http::{Body, server::Handler},
     wire,
 };
@@ -143,7 +143,8 @@
     }
 }
 
-fn message(state: &State, to: Option<&entry::Name>) -> wire::Exchange {
+/// What this host tells another, or anybody who asks.
+pub fn message(state: &State, to: Option<&entry::Name>) -> wire::Exchange {
     wire::Exchange {
         members: state.roster.gossip(to),
         stamp: state.hybrid.tick(wall_millis()).get(),
@@ -243,11 +244,14 @@
         let (head, body) = request.into_parts();
         let state = &self.0;
         let path = head.uri.path();
-        let (place, rest) = path.trim_start_matches('/').split_once('/').unwrap_or((path, ""));
+        let (place, rest) = path
+            .trim_start_matches('/')
+            .split_once('/')
+            .unwrap_or((path.trim_start_matches('/'), ""));
         match (&head.method, place) {
             (&Method::GET, "snapshot") => return feed::snapshot(state, rest).await,
-            (&Method::GET, "blocks") => return feed::blocks(state),
-            (&Method::GET, "document") => return documents::answer(state, rest),
+            (&Method::GET, "status") => return wire(&message(state, None)),
+            (&Method::GET, "events") => return timeline::answer(state),
             (&Method::GET, "list") => return listing::answer(state, rest),
             (&Method::GET, "signs") => return signs::answer(state),
             (&Method::GET, "probe") => return self.probe(rest).await,
@@ -259,6 +263,7 @@
         match (&head.method, path) {
             (&Method::POST, "/exchange") => self.exchange(&body.to_bytes()),
             (&Method::POST, "/members") => self.members(&body.to_bytes()),
+            (&Method::POST, "/parts") => documents::parts(state, &body.to_bytes()),
             (&Method::POST, "/observe") => feed::observe(state, &body.to_bytes()),
             _ => status(StatusCode::NOT_FOUND),
         }
--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -5,6 +5,7 @@
 use oleanderspan::{document::raw, prelude::*};
 
 use crate::{
+    clock::wall_millis,
     control::{
         State, membership,
         shares::{self, Moves},
@@ -25,6 +26,9 @@
 }
 
 fn publish(state: &State) {
+    if !state.is_ready() {
+        return;
+    }
     let was_moving = shares::is_moving(state);
     let had_shares = shares::are_in_force(state);
     publish_next(state);
@@ -42,7 +46,8 @@
     let own = &state.settings.host.name;
     let Some(moves) = shares::advance(&mut inner, &accepted, own, &hosts, now) else { return };
     let sequence = inner.snapshot.as_ref().map_or(0, |snapshot| snapshot.sequence);
-    let next = compose(&inner, &accepted, hosts, moves, sequence + 1);
+    let mut next = compose(&inner, &accepted, hosts, moves, sequence + 1);
+    next.stamp = state.hybrid.tick(wall_millis()).get();
     if inner.snapshot.as_ref().is_none_or(|last| differs(last, &next)) {
         inner.snapshot = Some(Arc::new(next));
     }
@@ -66,8 +71,9 @@
     });
     wire::Snapshot {
         sequence,
+        stamp: 0,
         version: accepted.version.0,
-        blocks: accepted.blocks.clone(),
+        blocks: accepted.blocks,
         servers: servers.collect(),
         shares: moves.shares,
         failed: moves.failed,
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,13 +1,10 @@
 //! What the tasks of the control daemon share.
 
-use std::{
-    collections::VecDeque,
-    sync::{Mutex, MutexGuard, PoisonError},
-};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use oleanderspan::{
     backend::{Signs, server::Identity},
-    document::{self, Draft, raw},
+    document::{self, Draft, Hash, Lesson, Shown, Standing, Version, raw},
     event::{Event, Hybrid, Kind},
     prelude::*,
 };
@@ -17,15 +14,21 @@
 use crate::{
     clock::{Monotonic, wall_millis},
     codec,
-    control::{membership::Roster, shares::Shares},
+    control::{
+        membership::Roster,
+        parts::{self, Parts, Source},
+        shares::Shares,
+        timeline::Journal,
+    },
     http::client::{Client, Protocol},
     settings::Settings,
     store::{self, Store},
     wire,
 };
 
-/// Events that are kept in memory.
-const MAX_EVENTS: usize = 10_000;
+/// The time after a start in which a host hears of every peer that answers; until then a peer
+/// that is behind could show it less than it had in force before.
+const LEARN_TIME: Duration = Duration::from_secs(3);
 
 /// What the tasks share; cloning it is cheap.
 #[derive(Clone, Debug)]
@@ -50,6 +53,8 @@
     pub changed: Notify,
     /// What is known of entry hosts.
     pub roster: Roster,
+    /// Held by the task that gathers a document, so that no part is fetched twice.
+    gathering: tokio::sync::Mutex<()>,
     inner: Mutex<Inner>,
     process: Arc<str>,
 }
@@ -60,33 +65,44 @@
     /// Its version.
     pub version: document::Version,
     /// Its content hash.
-    pub hash: String,
-    /// As it is written.
+    pub hash: Hash,
+    /// As it is written, without its blocks.
     pub raw: Arc<raw::Document>,
-    /// As it was checked.
+    /// As it was checked, without its blocks.
     pub draft: Arc<Draft>,
+    /// Its parts, the blocks among them.
+    pub parts: Arc<Parts>,
     /// The content hash of its blocks.
-    pub blocks: String,
+    pub blocks: Hash,
 }
 
 impl Accepted {
-    /// Checks a document that the store or a peer holds.
-    pub fn new(
-        version: document::Version,
-        hash: String,
-        raw: raw::Document,
-    ) -> Result<Accepted, Error> {
+    /// Checks a document whose parts were gathered.
+    pub fn new(version: Version, environment: &str, parts: Parts) -> Result<Accepted, Error> {
+        let raw = parts.without_blocks(environment)?;
         let draft = Draft::try_from(&raw)?;
-        let blocks = codec::hash(&codec::to_wire(&raw.blocks)?);
-        Ok(Accepted { version, hash, raw: Arc::new(raw), draft: Arc::new(draft), blocks })
+        Ok(Accepted {
+            version,
+            hash: parts.root(),
+            blocks: parts.manifest()?.blocks,
+            raw: Arc::new(raw),
+            draft: Arc::new(draft),
+            parts: Arc::new(parts),
+        })
     }
 }
 
 /// What changes.
 #[derive(Debug, Default)]
 pub struct Inner {
+    /// What is in force.
+    pub standing: Standing,
     /// The document in force.
     pub accepted: Option<Accepted>,
+    /// Whether the store told what is in force since the start.
+    pub store_told: bool,
+    /// Documents that were shown under a version which belongs to another.
+    pub corrupt: Set<Hash>,
     /// The platform's list, as it was read last.
     pub list: store::List,
     /// When and by its content which list that is.
@@ -99,8 +115,8 @@
     pub shares: Shares,
     /// The latest snapshot for the entry daemon.
     pub snapshot: Option<Arc<wire::Snapshot>>,
-    /// Recent events of this process.
-    pub events: VecDeque<Event>,
+    /// Events of this host.
+    pub journal: Journal,
 }
 
 impl std::ops::Deref for State {
@@ -123,6 +139,7 @@
             clock,
             hybrid: Hybrid::default(),
             changed: Notify::new(),
+            gathering: tokio::sync::Mutex::default(),
             inner: Mutex::default(),
             process,
             settings,
@@ -150,28 +167,89 @@
         };
         info!(self.log, "event"; "kind" => kind.as_str(), "subject" => &event.subject,
             "detail" => &event.detail);
-        let mut inner = self.lock();
-        if inner.events.len() == MAX_EVENTS {
-            inner.events.pop_front();
+        self.lock().journal.add(event);
+    }
+
+    /// The document in force.
+    pub fn accepted(&self) -> Option<Accepted> {
+        self.lock().accepted.clone()
+    }
+
+    /// Gathers and puts into force what was shown, if it is later than what is in force.
+    pub async fn learn<S: Source>(&self, shown: Shown, source: &S) -> Result<(), Error> {
+        if self.judge(shown) != Lesson::Later {
+            return Ok(());
+        }
+        // Whoever gathers now puts a later version into force as well, or this one is shown again.
+        let Ok(_gathering) = self.gathering.try_lock() else { return Ok(()) };
+        let known = self.accepted().map(|accepted| accepted.parts);
+        let mut gathered = Parts::gather(shown.document, known.as_deref(), source).await;
+        if let Err(parts::Error::Mismatch(hash)) = gathered {
+            self.record(Kind::Corrupt, format!("part {hash}"), "fetching the whole again");
+            gathered = Parts::gather(shown.document, None, source).await;
+        }
+        let gathered = gathered?;
+        let environment = self.settings.environment.as_str();
+        let accepted = Accepted::new(shown.version, environment, gathered.parts)?;
+        let (parts, bytes) = (gathered.fetched_parts, gathered.fetched_bytes);
+        self.put_in_force(accepted, format!("{parts} parts, {bytes} bytes"));
+        Ok(())
+    }
+
+    /// Puts a document into force whose parts are at hand, if it is later.
+    pub fn take_over(&self, shown: Shown, parts: Parts) -> Result<(), Error> {
+        if self.judge(shown) == Lesson::Later {
+            let environment = self.settings.environment.as_str();
+            let accepted = Accepted::new(shown.version, environment, parts)?;
+            self.put_in_force(accepted, "accepted here".to_owned());
+        }
+        Ok(())
+    }
+
+    /// Judges what was shown; a contradiction is recorded once.
+    fn judge(&self, shown: Shown) -> Lesson {
+        let (lesson, first) = {
+            let mut inner = self.lock();
+            let lesson = inner.standing.judge(shown);
+            (lesson, lesson == Lesson::Corrupt && inner.corrupt.insert(shown.document))
+        };
+        if first {
+            let detail = format!("{} was shown and is ignored", shown.document);
+            self.record(Kind::Corrupt, shown.version.to_string(), detail);
         }
-        inner.events.push_back(event);
+        lesson
     }
 
-    /// Puts an accepted document into force unless a later one is.
-    pub fn put_in_force(&self, accepted: Accepted) {
-        let version = accepted.version;
+    fn put_in_force(&self, accepted: Accepted, detail: String) {
+        let shown = Shown { version: accepted.version, document: accepted.hash };
         {
             let mut inner = self.lock();
-            if inner.accepted.as_ref().is_some_and(|current| current.version >= version) {
+            if inner.standing.advance(shown) != Lesson::Later {
                 return;
             }
             inner.accepted = Some(accepted);
         }
-        self.record(Kind::InForce, version.to_string(), "");
+        self.record(Kind::InForce, shown.version.to_string(), detail);
         self.changed.notify_one();
         self.roster.hurry();
     }
 
+    /// Takes note that the store has told what is in force.
+    pub fn note_store_told(&self) {
+        let first = !std::mem::replace(&mut self.lock().store_told, true);
+        if first {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Whether this host may serve: a document is in force, and either the store has told of the
+    /// latest one or every peer that answers had the time to.
+    pub fn is_ready(&self) -> bool {
+        let learned = self.clock.now() >= Instant::ZERO + LEARN_TIME;
+        let inner = self.lock();
+        inner.accepted.is_some() && (inner.store_told || learned)
+    }
+
     /// Takes note of a sign that a server is leaving.
     pub fn note_leaving(&self, identity: Identity) {
         let subject = identity.name.to_string();
@@ -194,6 +272,14 @@
     Codec(codec::Error),
     /// The platform's service failed.
     Store(store::Error),
+    /// Parts of the document could not be had.
+    Parts(parts::Error),
+}
+
+impl From<parts::Error> for Error {
+    fn from(error: parts::Error) -> Error {
+        Error::Parts(error)
+    }
 }
 
 impl From<document::Error> for Error {
@@ -220,6 +306,7 @@
             Error::Document(error) => error.fmt(f),
             Error::Codec(error) => error.fmt(f),
             Error::Store(error) => error.fmt(f),
+            Error::Parts(error) => error.fmt(f),
         }
     }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -18,6 +18,7 @@
 
 use std::io;
 
+use oleanderspan::event::Kind;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -34,6 +35,7 @@
         "relays" => %settings.entry.relay_address);
     let state = State::start(&settings, log)?;
     let counts = tokio::spawn(send_counts(state.clone()));
+    state.record(Kind::Started, "", "");
     let feed = tokio::spawn(feed::run(state.clone(), settings.control.peer_address));
     tokio::spawn(jobs::runner::run(state.clone()));
     let measure = tokio::spawn(measure::run(state.clone(), settings.control.peer_address));
--- a/crates/node/src/entry/feed.rs
+++ b/crates/node/src/entry/feed.rs
@@ -2,13 +2,15 @@
 //!
 //! While the control daemon is dead or frozen the last snapshot stays in force.
 
-use std::fmt;
+use std::{collections::BTreeMap, fmt};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use oleanderspan::{
-    availability, backend, caller, document,
+    availability, backend, caller,
+    document::{self, raw},
     entry::{self, Host},
+    event::{Kind, Stamp},
     prelude::*,
     service,
     shift::{self, Vector, board::SILENCE},
@@ -18,6 +20,10 @@
 
 use crate::{
     codec,
+    control::{
+        parts::{self, Parts},
+        source,
+    },
     entry::{State, state::Snapshot},
     http::{Body, client},
     wire,
@@ -27,9 +33,6 @@
 /// second.
 const SNAPSHOT_LIMIT: Duration = Duration::from_secs(2);
 
-/// Longest time to fetch the blocks of a document.
-const BLOCKS_LIMIT: Duration = Duration::from_secs(10);
-
 /// Longest time to send an observation.
 const OBSERVATION_LIMIT: Duration = Duration::from_secs(5);
 
@@ -55,25 +58,52 @@
     }
 }
 
-/// Sends observations to the control daemon; what cannot be sent is seen again or lost.
+/// Sends observations to the control daemon: events until it has taken them, all others once, as
+/// they are seen again or out of date.
 async fn report(state: State, control: SocketAddr) {
     while let Some(observation) = state.next_observation().await {
-        let Ok(body) = codec::to_wire(&observation) else { continue };
-        let request =
-            Request::post(format!("http://{control}/observe")).body(Body::from(Bytes::from(body)));
-        let Ok(request) = request else { return };
-        let _ = state.control.call(request, OBSERVATION_LIMIT).await;
+        let Ok(body) = codec::to_wire(&observation).map(Bytes::from) else { continue };
+        let is_kept = !observation.events.is_empty();
+        while !is_taken(&state, control, body.clone()).await && is_kept {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
     }
 }
 
+async fn is_taken(state: &State, control: SocketAddr, body: Bytes) -> bool {
+    let request = Request::post(format!("http://{control}/observe")).body(Body::from(body));
+    let Ok(request) = request else { return false };
+    let answered = state.control.call(request, OBSERVATION_LIMIT).await;
+    answered.is_ok_and(|(status, _)| status.is_success())
+}
+
 struct Feed {
     control: SocketAddr,
     seen: u64,
-    blocks: Option<(String, Arc<caller::Index>)>,
+    blocks: Option<Blocks>,
     latest: Option<snapshot::Input>,
     answered_at: Instant,
 }
 
+/// Blocks of clients as they are in force.
+struct Blocks {
+    parts: Parts,
+    sites: BTreeMap<String, raw::Site>,
+    index: Arc<caller::Index>,
+}
+
+impl Blocks {
+    fn new(parts: Parts, sites: BTreeMap<String, raw::Site>) -> Result<Blocks, Error> {
+        let mut blocks = Vec::new();
+        for bucket in parts.buckets(parts.root())? {
+            let bucket: BTreeMap<String, String> = parts.read(&bucket)?;
+            blocks.append(&mut caller::Block::check_all(&bucket, &sites)?);
+        }
+        let index = Arc::new(caller::Index::new(&blocks));
+        Ok(Blocks { parts, sites, index })
+    }
+}
+
 impl Feed {
     /// Asks for the next snapshot; while the control daemon is silent, callers are sent to
     /// other hosts, because shares may move there without this one.
@@ -113,35 +143,37 @@
         let draft = document::Draft::try_from(&raw.document)?;
         let blocks = self.blocks(state, &raw).await?;
         self.seen = raw.sequence;
+        state.hybrid.observe(Stamp::from_number(raw.stamp));
         let prior = state.snapshot();
         let changed = prior.as_ref().is_none_or(|prior| prior.version.0 != raw.version);
         let input = input(raw, draft, blocks, &state.name)?;
         if changed {
-            info!(state.log, "document in force"; "version" => input.version.0);
+            state.record(Kind::InForce, input.version.to_string(), "");
         }
         self.latest = Some(input.clone());
         state.publish(Snapshot::new(input, prior.as_deref()));
         Ok(())
     }
 
-    /// The index of the blocks, fetched and built only when they changed.
+    /// The index of the blocks, built again only when they changed and from the parts that this
+    /// host lacked.
     async fn blocks(
         &mut self,
         state: &State,
         raw: &wire::Snapshot,
     ) -> Result<Arc<caller::Index>, Error> {
-        if let Some((hash, index)) = &self.blocks
-            && *hash == raw.blocks
+        if let Some(blocks) = &self.blocks
+            && blocks.parts.root() == raw.blocks
+            && blocks.sites == raw.document.sites
         {
-            return Ok(Arc::clone(index));
+            return Ok(Arc::clone(&blocks.index));
         }
-        let path = format!("/blocks/{}", raw.blocks);
-        let body = self.get(state, &path, BLOCKS_LIMIT).await?;
-        let fetched: wire::Blocks = codec::from_wire(&body.ok_or(Error::NoBlocks)?)?;
-        let mut whole = raw.document.clone();
-        whole.blocks = fetched.blocks;
-        let index = Arc::new(caller::Index::new(&document::Draft::try_from(&whole)?.blocks));
-        self.blocks = Some((raw.blocks.clone(), Arc::clone(&index)));
+        let control = source::Peer { client: &state.control, address: self.control };
+        let known = self.blocks.as_ref().map(|blocks| &blocks.parts);
+        let parts = Parts::gather_blocks(raw.blocks, known, &control).await?.parts;
+        let blocks = Blocks::new(parts, raw.document.sites.clone())?;
+        let index = Arc::clone(&blocks.index);
+        self.blocks = Some(blocks);
         Ok(index)
     }
 
@@ -152,7 +184,7 @@
         limit: Duration,
     ) -> Result<Option<Bytes>, Error> {
         let request = Request::get(format!("http://{}{path}", self.control)).body(Body::empty());
-        let request = request.map_err(|_| Error::NoBlocks)?;
+        let request = request.map_err(|error| Error::Request(error.to_string()))?;
         let (status, body) = state.control.call(request, limit).await?;
         match status {
             StatusCode::OK => Ok(Some(body)),
@@ -228,7 +260,14 @@
     Codec(codec::Error),
     Document(document::Error),
     Shares(shift::Error),
-    NoBlocks,
+    Parts(parts::Error),
+    Request(String),
+}
+
+impl From<parts::Error> for Error {
+    fn from(error: parts::Error) -> Error {
+        Error::Parts(error)
+    }
 }
 
 impl From<client::Error> for Error {
@@ -263,7 +302,8 @@
             Error::Codec(error) => error.fmt(f),
             Error::Document(error) => error.fmt(f),
             Error::Shares(error) => error.fmt(f),
-            Error::NoBlocks => f.write_str("the blocks are not there"),
+            Error::Parts(error) => error.fmt(f),
+            Error::Request(reason) => f.write_str(reason),
         }
     }
 }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -4,12 +4,16 @@
 
 use arc_swap::ArcSwapOption;
 use cadence::StatsdClient;
-use oleanderspan::{entry, snapshot};
-use slog::Logger;
+use oleanderspan::{
+    entry,
+    event::{Event, Hybrid, Kind},
+    snapshot,
+};
+use slog::{Logger, info};
 use tokio::sync::mpsc;
 
 use crate::{
-    clock::Monotonic,
+    clock::{Monotonic, wall_millis},
     entry::{claims::Claims, counters::Counters, jobs::Jobs, slot, stop::Stop},
     http::client::{Client, Protocol},
     metrics,
@@ -52,6 +56,9 @@
     pub metrics: Arc<StatsdClient>,
     /// What requests count.
     pub counters: Counters,
+    /// The clock of events.
+    pub hybrid: Hybrid,
+    process: Arc<str>,
     /// How far a planned stop has come.
     pub stop: Stop,
     snapshot: ArcSwapOption<Snapshot>,
@@ -84,6 +91,8 @@
             metrics: metrics::start(settings.metrics.as_ref())?,
             counters: Counters::new(),
             log,
+            hybrid: Hybrid::default(),
+            process: format!("{}/entry", settings.host.name).into(),
             snapshot: ArcSwapOption::empty(),
             observed,
             observations: tokio::sync::Mutex::new(observations),
@@ -108,6 +117,21 @@
         let _ = self.observed.try_send(observation);
     }
 
+    /// Records an event in the time line and in the log.
+    pub fn record(&self, kind: Kind, subject: impl Into<String>, detail: impl Into<String>) {
+        let event = Event {
+            stamp: self.hybrid.tick(wall_millis()),
+            process: Arc::clone(&self.process),
+            kind,
+            subject: subject.into(),
+            detail: detail.into(),
+        };
+        info!(self.log, "event"; "kind" => kind.as_str(), "subject" => &event.subject,
+            "detail" => &event.detail);
+        let events = vec![wire::Happening::from(&event)];
+        self.observe(wire::Observation { events, ..wire::Observation::default() });
+    }
+
     /// The next observation for the control daemon.
     pub async fn next_observation(&self) -> Option<wire::Observation> {
         self.observations.lock().await.recv().await
--- a/crates/node/src/entry/stop.rs
+++ b/crates/node/src/entry/stop.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::Request;
-use oleanderspan::prelude::*;
+use oleanderspan::{event::Kind, prelude::*};
 use slog::{Logger, info};
 use tokio_util::sync::CancellationToken;
 
@@ -69,7 +69,8 @@
     state.stop.enter(LEAVING);
     let notices = tokio::spawn(notify(state.clone(), control));
     let log: &Logger = &state.log;
-    info!(log, "leaving"; "locate_max_age_s" => max_age(&state).as_secs());
+    let detail = format!("locate answers are kept for {} s", max_age(&state).as_secs());
+    state.record(Kind::Stopping, "", detail);
     let begun = state.clock.now();
     tokio::time::sleep(SPREAD).await;
     // The document may have changed meanwhile; an answer keeps the age that it was given with.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decisions live in the `oleanderspan` library; this crate turns bytes into its checked types
 //! and its answers into bytes. See `docs/DESIGN.md`.
 
+pub mod arguments;
 pub mod clock;
 pub mod codec;
 pub mod control;
@@ -11,6 +12,7 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+pub mod schema;
 pub mod settings;
 pub mod store;
 pub mod wire;
--- a/crates/node/tests/wire.rs
+++ b/crates/node/tests/wire.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, fmt::Debug, net::SocketAddr};
 
 use oleanderspan::{
-    document::raw,
+    document::{Hash, raw},
     entry::membership::Gossip,
     event::Event,
     request::{
@@ -108,10 +108,20 @@
         .prop_map(|(region, services)| wire::Shares { region, services })
 }
 
+fn hash() -> impl Strategy<Value = Hash> {
+    any::<[u8; 32]>().prop_map(Hash::from_bytes)
+}
+
+fn parts() -> impl Strategy<Value = wire::Parts> {
+    let part = prop::collection::vec(any::<u8>(), 0..40).prop_map(|bytes| wire::Blob(bytes.into()));
+    prop::collection::vec(part, 0..4).prop_map(|parts| wire::Parts { parts })
+}
+
 prop_compose! {
     fn snapshot()(
-        numbers in any::<[u64; 2]>(),
-        blocks in text(),
+        numbers in any::<[u64; 3]>(),
+        environment in text(),
+        blocks in hash(),
         hosts in prop::collection::vec(host(), 0..3),
         servers in prop::collection::vec(server(), 0..3),
         counts in any::<[[u32; 2]; 3]>(),
@@ -120,16 +130,17 @@
         let rows: Vec<Vec<u32>> = counts.iter().map(|row| row.to_vec()).collect();
         wire::Snapshot {
             sequence: numbers[0],
+            stamp: numbers[2],
             version: numbers[1],
             document: raw::Document {
-                environment: blocks.clone(),
+                environment: environment.clone(),
                 regions: BTreeMap::new(),
                 links: Vec::new(),
                 sites: BTreeMap::new(),
                 services: BTreeMap::new(),
                 drains: raw::Drains::default(),
                 locate: raw::Locate::default(),
-                blocks: BTreeMap::from([("::/0".to_owned(), blocks.clone())]),
+                blocks: BTreeMap::from([("::/0".to_owned(), environment)]),
             },
             blocks,
             hosts,
@@ -146,12 +157,13 @@
         from in host(),
         changes in prop::collection::vec(host(), 0..4),
         digests in any::<[u64; 4]>(),
-        names in [text(), text(), text()],
+        names in [text(), text()],
+        document in prop::option::of(hash()),
         recent in signs(),
         shares in prop::option::of(shares()),
         loads in loads(),
     ) -> wire::Exchange {
-        let [environment, document, hash] = names;
+        let [environment, hash] = names;
         wire::Exchange {
             members: wire::Gossip { from, changes, digest: digests[0] },
             stamp: digests[1],
@@ -313,7 +325,8 @@
 
 fn read_all(bytes: &[u8]) {
     let _ = codec::from_wire::<wire::Snapshot>(bytes);
-    let _ = codec::from_wire::<wire::Blocks>(bytes);
+    let _ = codec::from_wire::<wire::Parts>(bytes);
+    let _ = codec::from_wire::<Vec<Hash>>(bytes);
     let _ = codec::from_wire::<wire::Observation>(bytes);
     let _ = codec::from_wire::<wire::Exchange>(bytes);
     let _ = codec::from_wire::<wire::Happening>(bytes);
@@ -341,12 +354,17 @@
         stopping in any::<bool>(),
         loads in prop::option::of(loads()),
         snapshot in snapshot(),
+        parts in parts(),
+        hashes in prop::collection::vec(hash(), 0..4),
         damages in damages(),
     ) {
         check_twice(&exchange, &damages);
         check(&servers, &damages);
         check(&happening, &damages);
-        check_twice(&wire::Observation { leaving, stopping, loads }, &damages);
+        let events = vec![happening.clone()];
+        check_twice(&wire::Observation { leaving, stopping, loads, events }, &damages);
+        check_twice(&parts, &damages);
+        check_twice(&hashes, &damages);
         check_twice(&snapshot, &damages);
         // Names that no host or server may have are refused after they were read.
         let _ = Gossip::try_from(&exchange.members);
