Put new retry and hedge budgets into force with their document

Change: a budget is kept only if its share is the document's. Conclusion: an accepted document's limits are in force with it.

--- a/crates/lab/tests/local/mod.rs
+++ b/crates/lab/tests/local/mod.rs
@@ -56,9 +56,7 @@
 impl Local {
     /// Starts the host; every request of the service goes to `servers`.
     pub async fn start(servers: &[SocketAddr], limits: raw::Limits) -> Local {
-        let settings = CUPRUL.settings(1, "production", Ports { base: 7_000 });
-        let raw: Raw = serde_json::from_value(settings).unwrap();
-        let settings = Settings::try_from(raw).unwrap();
+        let settings = settings();
         let state = State::start(&settings, Logger::root(Discard, o!())).unwrap();
         state.publish(Snapshot::new(input(servers, limits, &settings), None));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -102,6 +100,18 @@
     }
 }
 
+/// The settings of the host.
+fn settings() -> Settings {
+    let settings = CUPRUL.settings(1, "production", Ports { base: 7_000 });
+    let raw: Raw = serde_json::from_value(settings).unwrap();
+    Settings::try_from(raw).unwrap()
+}
+
+/// The snapshot of a document with other limits that follows `prior`, without servers.
+pub fn snapshot(limits: raw::Limits, prior: Option<&Snapshot>) -> Snapshot {
+    Snapshot::new(input(&[], limits, &settings()), prior)
+}
+
 fn input(servers: &[SocketAddr], limits: raw::Limits, settings: &Settings) -> snapshot::Input {
     let mut document = CUPRUL.document("production");
     document.services.retain(|name, _| name == "stockview");
--- a/crates/oleanderspan/src/request/retry.rs
+++ b/crates/oleanderspan/src/request/retry.rs
@@ -13,25 +13,31 @@
 /// Allows extra attempts as a share of first attempts.
 #[derive(Debug)]
 pub struct Budget {
-    share: i64,
+    share: Percent,
     credit: AtomicI64,
 }
 
 impl Budget {
     /// A budget of `share` extra attempts for each first attempt.
     pub fn new(share: Percent) -> Budget {
-        Budget { share: i64::from(share.get()), credit: AtomicI64::new(ATTEMPT) }
+        Budget { share, credit: AtomicI64::new(ATTEMPT) }
     }
 
     /// A budget with as many extra attempts saved up as it may hold, for faults that come at once.
     pub fn saved(share: Percent) -> Budget {
         let credit = if share.get() == 0 { 0 } else { MAX_SAVED };
-        Budget { share: i64::from(share.get()), credit: AtomicI64::new(credit) }
+        Budget { share, credit: AtomicI64::new(credit) }
+    }
+
+    /// Extra attempts as a share of first ones.
+    pub fn share(&self) -> Percent {
+        self.share
     }
 
     /// Counts a first attempt.
     pub fn earn(&self) {
-        let earn = |credit: i64| Some((credit + self.share).min(MAX_SAVED));
+        let share = i64::from(self.share.get());
+        let earn = |credit: i64| Some((credit + share).min(MAX_SAVED));
         let _ = self.credit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, earn);
     }
 
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -314,7 +314,6 @@
         let regions = regions.len();
         let kept = prior.map(|(_, row)| row).filter(|row| row.diffusers.len() == regions);
         let same_cap = kept.filter(|row| row.cap == service.shift);
-        let budget = |share| Arc::new(request::retry::Budget::new(share));
         Row {
             targets: targets.collect(),
             vectors: shares.vectors,
@@ -328,11 +327,14 @@
                 |row| Arc::clone(&row.spills),
             ),
             cap: service.shift.clone(),
-            retries: kept.map_or_else(|| budget(limits.retries), |row| Arc::clone(&row.retries)),
-            hedges: kept.map_or_else(
-                || Arc::new(request::retry::Budget::saved(limits.hedges)),
-                |row| Arc::clone(&row.hedges),
-            ),
+            retries: kept
+                .map(|row| Arc::clone(&row.retries))
+                .filter(|retries| retries.share() == limits.retries)
+                .unwrap_or_else(|| Arc::new(request::retry::Budget::new(limits.retries))),
+            hedges: kept
+                .map(|row| Arc::clone(&row.hedges))
+                .filter(|hedges| hedges.share() == limits.hedges)
+                .unwrap_or_else(|| Arc::new(request::retry::Budget::saved(limits.hedges))),
         }
     }
 }
