--- /dev/null
+++ b/crates/oleanderspan/benches/ratio.rs
@@ -0,0 +1,68 @@
+//! Fails if the locate decision loses its bound against a plain search in the same run.
+//!
+//! `cargo bench -p oleanderspan --bench ratio`
+
+#![allow(missing_docs, clippy::unwrap_used, reason = "a benchmark fails by panicking")]
+
+use std::{
+    hint::black_box,
+    net::{IpAddr, Ipv4Addr},
+    process::ExitCode,
+    time::Instant,
+};
+
+use oleanderspan::caller::{Block, Index, SiteIndex, block::Prefix};
+
+const BLOCKS: u32 = 540_000;
+const SITES: u32 = 3_300;
+const LOOK_UPS: u32 = 50_000;
+
+/// Rounds of both in turn, so that other work on the machine slows both.
+const ROUNDS: usize = 41;
+
+/// The target of 150 ns over the 78 ns that a plain search took where it was set.
+const BOUND: f64 = 150.0 / 78.0;
+
+/// A fixed sequence of well spread numbers, so that every run looks up the same addresses.
+fn scramble(n: u32) -> u32 {
+    let x = n.wrapping_mul(0x9e37_79b9) ^ 0x5bd1_e995;
+    let x = (x ^ (x >> 15)).wrapping_mul(0x85eb_ca6b);
+    x ^ (x >> 13)
+}
+
+fn address(n: u32) -> u32 {
+    let spread = u64::from(BLOCKS) * 4_096;
+    ((u64::from(scramble(n)) * spread) >> 32) as u32
+}
+
+fn nanos_per_call(mut call: impl FnMut(u32)) -> f64 {
+    let began = Instant::now();
+    (0..LOOK_UPS).for_each(|n| call(address(n)));
+    began.elapsed().as_nanos() as f64 / f64::from(LOOK_UPS)
+}
+
+fn main() -> ExitCode {
+    let block = |i: u32| {
+        let length = if i.is_multiple_of(2) { 20 } else { 21 };
+        let text = format!("{}/{length}", Ipv4Addr::from_bits(i * 4_096));
+        let site = SiteIndex((scramble(i) % SITES) as u16);
+        Block { prefix: Prefix::try_from(text.as_str()).unwrap(), site }
+    };
+    let index = Index::new(&(0..BLOCKS).map(block).collect::<Vec<_>>());
+    let starts: Vec<u32> = (0..BLOCKS).map(|i| i * 4_096).collect();
+    let mut ratios: Vec<f64> = (0..ROUNDS)
+        .map(|_| {
+            let decision = nanos_per_call(|bits| {
+                black_box(index.site(IpAddr::V4(Ipv4Addr::from_bits(black_box(bits)))));
+            });
+            let plain = nanos_per_call(|bits| {
+                black_box(starts.partition_point(|start| *start <= black_box(bits)));
+            });
+            decision / plain
+        })
+        .collect();
+    ratios.sort_by(f64::total_cmp);
+    let median = ratios[ROUNDS / 2];
+    println!("locate decision: {median:.2} times a plain search, at most {BOUND:.2}");
+    if median <= BOUND { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
