Yield the dispatch before a planned stop of the control daemon

Change: a control daemon that is told to stop marks the host as leaving, and goes on for a second, in which its entry daemon learns that and other hosts hear that it dispatches no more.

Besides, control::membership got the field's names: Registry for Roster, Presence for Attendance, Session for Visit, Entropy for Dice, receive, merge and wake for hear, absorb and hurry.

Not mended: after a kill the hold of 3 s stays, and requests that may queue for less are refused, not run.

--- a/crates/lab/src/scale/membership.rs
+++ b/crates/lab/src/scale/membership.rs
@@ -65,7 +65,7 @@
     queue: BinaryHeap<Reverse<(Instant, u64, Event)>>,
     steps: u64,
     now: Instant,
-    dice: Dice,
+    dice: Entropy,
     cut: Vec<usize>,
     /// What was sent.
     pub traffic: Traffic,
@@ -89,9 +89,9 @@
 }
 
 #[derive(Debug)]
-struct Dice(ChaCha8Rng);
+struct Entropy(ChaCha8Rng);
 
-impl Random for Dice {
+impl Random for Entropy {
     fn below(&mut self, bound: usize) -> usize {
         self.0.random_range(0..bound)
     }
@@ -105,7 +105,7 @@
         let nodes = members.iter().enumerate().map(|(host, own)| {
             let mut known = Membership::new(own.clone(), Instant::ZERO);
             known.set_zones(&zones);
-            known.absorb(if introduced { &members } else { &members[..1] }, Instant::ZERO);
+            known.merge(if introduced { &members } else { &members[..1] }, Instant::ZERO);
             known.take_news();
             Node { members: known, runs: true, zone: host % plan.zones }
         });
@@ -115,7 +115,7 @@
             queue: BinaryHeap::new(),
             steps: 0,
             now: Instant::ZERO,
-            dice: Dice(ChaCha8Rng::seed_from_u64(plan.seed)),
+            dice: Entropy(ChaCha8Rng::seed_from_u64(plan.seed)),
             cut: Vec::new(),
             traffic: Traffic::default(),
             false_deaths: 0,
@@ -277,17 +277,17 @@
             return false;
         }
         let answer = self.nodes[b].members.gossip(Some(&names[0]));
-        self.hear(b, a, &question);
+        self.receive(b, a, &question);
         self.count(b, a, &answer);
         if !self.is_delivered(b, a) {
             return false;
         }
-        self.hear(a, b, &answer);
+        self.receive(a, b, &answer);
         true
     }
 
-    fn hear(&mut self, host: usize, from: usize, gossip: &Gossip) {
-        if !self.nodes[host].members.hear(gossip, self.now, &mut self.dice) {
+    fn receive(&mut self, host: usize, from: usize, gossip: &Gossip) {
+        if !self.nodes[host].members.receive(gossip, self.now, &mut self.dice) {
             return;
         }
         let digests = self.nodes[host].members.digest().parts().to_vec();
@@ -296,7 +296,7 @@
         self.traffic.messages += 2;
         let hosts: Vec<wire::Host> = differing.iter().map(wire::Host::from).collect();
         self.traffic.bytes += DIGEST_BYTES + codec::to_wire(&hosts).map_or(0, |b| b.len() as u64);
-        self.nodes[host].members.absorb(&differing, self.now);
+        self.nodes[host].members.merge(&differing, self.now);
     }
 
     fn count(&mut self, a: usize, b: usize, gossip: &Gossip) {
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -31,9 +31,9 @@
 
 /// The random numbers of the thread.
 #[derive(Clone, Copy, Debug)]
-pub struct Dice;
+pub struct Entropy;
 
-impl Random for Dice {
+impl Random for Entropy {
     fn below(&mut self, bound: usize) -> usize {
         rand::random_range(0..bound)
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -15,7 +15,7 @@
 pub mod survey;
 pub mod timeline;
 
-use std::io;
+use std::{io, time::Duration};
 
 use oleanderspan::event::Kind;
 use slog::{Logger, info};
@@ -26,6 +26,10 @@
 
 use crate::{http::server, settings::Settings};
 
+/// The time in which the own entry daemon learns that the host leaves, and other hosts that it
+/// dispatches no more.
+const YIELD_TIME: Duration = Duration::from_secs(1);
+
 /// Runs until `stop`.
 pub async fn run(settings: Settings, log: Logger, stop: CancellationToken) -> io::Result<()> {
     let peers = TcpListener::bind(settings.control.peer_address).await?;
@@ -41,11 +45,14 @@
         tokio::spawn(timeline::run(state.clone())),
         tokio::spawn(shares::record(state.clone())),
     ];
-    let goodbye = async {
+    let closed = CancellationToken::new();
+    let announcement = async {
         stop.cancelled().await;
-        exchange::say_goodbye(&state).await;
+        yield_dispatch(&state).await;
+        exchange::announce_stop(&state).await;
+        closed.cancel();
     };
-    tokio::join!(server::serve(peers, exchange::Peer(state.clone()), stop.clone()), goodbye);
+    tokio::join!(server::serve(peers, exchange::Peer(state.clone()), closed.clone()), announcement);
     state.record(Kind::Stopping, "", "");
     for task in &tasks {
         task.abort();
@@ -53,3 +60,11 @@
     timeline::flush(&state).await;
     operators.close().await.map_err(io::Error::other)
 }
+
+/// Leaves the dispatch to other hosts before the stop, as they would have to wait for this one
+/// longer than requests may queue.
+async fn yield_dispatch(state: &State) {
+    state.registry.note_control_stopping();
+    membership::refresh(state);
+    tokio::time::sleep(YIELD_TIME).await;
+}
--- a/crates/node/src/control/acceptance.rs
+++ b/crates/node/src/control/acceptance.rs
@@ -72,7 +72,7 @@
 pub async fn watch(state: State) {
     let mut is_answering = true;
     loop {
-        if state.roster.reads_store() || !state.is_ready() {
+        if state.registry.reads_store() || !state.is_ready() {
             let looked = look(&state).await;
             note_store(&state, &mut is_answering, &looked);
         }
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -21,7 +21,7 @@
 use slog::debug;
 
 use crate::{
-    clock::{Dice, wall_millis},
+    clock::{Entropy, wall_millis},
     codec,
     control::{State, listing, membership, shares, timeline},
     http::{Body, server::Handler},
@@ -51,7 +51,7 @@
     loop {
         membership::refresh(&state);
         signs::refresh(&state);
-        for target in state.roster.round(state.clock.now()) {
+        for target in state.registry.round(state.clock.now()) {
             tokio::spawn(ask(state.clone(), target));
         }
         for seed in seeds(&state) {
@@ -59,16 +59,16 @@
             tokio::spawn(async move { exchange_with(&state, seed, None).await });
         }
         tokio::time::sleep(LEAST_PAUSE).await;
-        let pause = jitter(ROUND, &mut Dice).saturating_sub(LEAST_PAUSE);
-        let _ = tokio::time::timeout(pause, state.roster.urgent()).await;
+        let pause = jitter(ROUND, &mut Entropy).saturating_sub(LEAST_PAUSE);
+        let _ = tokio::time::timeout(pause, state.registry.woken()).await;
     }
 }
 
 /// Tells a few peers at once what this host has to say, before it stops.
-pub async fn say_goodbye(state: &State) {
-    state.roster.note_control_stopping();
+pub async fn announce_stop(state: &State) {
+    state.registry.note_control_stopping();
     membership::refresh(state);
-    let targets = state.roster.round(state.clock.now());
+    let targets = state.registry.round(state.clock.now());
     let told =
         targets.iter().map(|target| exchange_with(state, target.peer_address, Some(&target.name)));
     futures_util::future::join_all(told).await;
@@ -76,16 +76,16 @@
 
 /// The seeds to ask in this round.
 fn seeds(state: &State) -> Vec<SocketAddr> {
-    let is_alone = state.roster.count() == 1;
-    if !is_alone && Dice.below(ROUNDS_PER_SEED) > 0 {
+    let is_alone = state.registry.count() == 1;
+    if !is_alone && Entropy.below(ROUNDS_PER_SEED) > 0 {
         return Vec::new();
     }
     let listed = state.lock().list.hosts.clone();
     let known = state.settings.control.peers.iter().copied().chain(listed);
-    let mut strangers = state.roster.strangers(known);
+    let mut unknown_seeds = state.registry.unknown_seeds(known);
     let count = if is_alone { FIRST_SEEDS } else { 1 };
-    let picked =
-        (0..count.min(strangers.len())).map(|_| strangers.swap_remove(Dice.below(strangers.len())));
+    let picked = (0..count.min(unknown_seeds.len()))
+        .map(|_| unknown_seeds.swap_remove(Entropy.below(unknown_seeds.len())));
     picked.collect()
 }
 
@@ -101,13 +101,13 @@
     if again.is_ok() || others {
         return;
     }
-    state.roster.suspect(&target.name, asked, state.clock.now());
+    state.registry.suspect(&target.name, asked, state.clock.now());
     membership::refresh(&state);
-    state.roster.hurry();
+    state.registry.wake();
 }
 
 async fn is_reached_by_others(state: &State, target: &Target) -> bool {
-    let helpers = state.roster.helpers(&target.name);
+    let helpers = state.registry.helpers(&target.name);
     let path = format!("/probe/{}", target.peer_address);
     let mut answers: FuturesUnordered<_> =
         helpers.iter().map(|helper| probe_by(state, helper, &path)).collect();
@@ -146,7 +146,7 @@
 /// What this host tells another, or anybody who asks.
 pub fn message(state: &State, to: Option<&entry::Name>) -> wire::Exchange {
     wire::Exchange {
-        members: state.roster.gossip(to),
+        members: state.registry.gossip(to),
         stamp: state.hybrid.tick(wall_millis()).get(),
         environment: state.settings.environment.to_string(),
         document: documents::section(state),
@@ -187,13 +187,13 @@
     gossip: &wire::Gossip,
 ) -> Result<(), String> {
     let gossip = Gossip::try_from(gossip).map_err(|error| error.to_string())?;
-    if !state.roster.hear(&gossip, state.clock.now()) {
+    if !state.registry.receive(&gossip, state.clock.now()) {
         return Ok(());
     }
-    let body = post(state, peer, "/members", &state.roster.digests(), FETCH_LIMIT).await?;
+    let body = post(state, peer, "/members", &state.registry.digests(), FETCH_LIMIT).await?;
     let hosts: Vec<wire::Host> = codec::from_wire(&body).map_err(|error| error.to_string())?;
     let members: Vec<Member> = hosts.iter().filter_map(|host| host.try_into().ok()).collect();
-    state.roster.absorb(&members, state.clock.now());
+    state.registry.merge(&members, state.clock.now());
     Ok(())
 }
 
@@ -299,7 +299,7 @@
 
     fn members(&self, body: &[u8]) -> Response<Body> {
         match codec::from_wire::<Vec<u64>>(body) {
-            Ok(digests) => wire(&self.0.roster.differing(&digests)),
+            Ok(digests) => wire(&self.0.registry.differing(&digests)),
             Err(_) => status(StatusCode::BAD_REQUEST),
         }
     }
--- a/crates/node/src/control/exchange/feed.rs
+++ b/crates/node/src/control/exchange/feed.rs
@@ -23,7 +23,7 @@
 /// Answers as soon as there is a snapshot after `seen`, or with nothing after a while.
 pub(super) async fn snapshot(state: &State, seen: &str) -> Response<Body> {
     let Ok(seen) = seen.parse::<u64>() else { return exchange::status(StatusCode::BAD_REQUEST) };
-    let _visit = state.roster.visit(&state.clock, seen == 0);
+    let _session = state.registry.open_session(&state.clock, seen == 0);
     let until = state.clock.now() + LIMIT;
     while state.clock.now() < until {
         let snapshot = state.lock().snapshot.clone();
@@ -43,9 +43,9 @@
     signs::note_all(state, &observation.leaving);
     timeline::take_over(state, observation.events);
     if observation.stopping {
-        state.roster.note_entry_stopping();
+        state.registry.note_entry_stopping();
         membership::refresh(state);
-        state.roster.hurry();
+        state.registry.wake();
     }
     if let Some(loads) = observation.loads {
         shares::note_own_loads(state, loads);
--- a/crates/node/src/control/exchange/signs.rs
+++ b/crates/node/src/control/exchange/signs.rs
@@ -14,7 +14,7 @@
 
 /// Recent signs, and the digest of all.
 pub(super) fn section(state: &State) -> wire::Signs {
-    let hosts = state.roster.count();
+    let hosts = state.registry.count();
     let mut inner = state.lock();
     let recent = inner.signs.recent(hosts);
     wire::Signs {
@@ -31,7 +31,7 @@
 ) -> Result<(), String> {
     note_all(state, &signs.recent);
     let own = state.lock().signs.digest();
-    if signs.digest == own || !state.roster.may_compare_signs(state.clock.now()) {
+    if signs.digest == own || !state.registry.may_compare_signs(state.clock.now()) {
         return Ok(());
     }
     let body = exchange::get(state, peer, "/signs").await?;
--- a/crates/node/src/control/listing.rs
+++ b/crates/node/src/control/listing.rs
@@ -8,7 +8,7 @@
 use slog::debug;
 
 use crate::{
-    clock::{Dice, wall_millis},
+    clock::{Entropy, wall_millis},
     codec,
     control::{State, exchange},
     http::Body,
@@ -25,10 +25,10 @@
 /// Follows the list for ever; while the platform is away the last one stays in force.
 pub async fn watch(state: State) {
     loop {
-        if state.roster.reads_store() {
+        if state.registry.reads_store() {
             look(&state).await;
         }
-        tokio::time::sleep(jitter(POLL_INTERVAL, &mut Dice)).await;
+        tokio::time::sleep(jitter(POLL_INTERVAL, &mut Entropy)).await;
     }
 }
 
@@ -36,7 +36,7 @@
     match state.store.list().await {
         Ok(list) => {
             let stamp = state.hybrid.tick(wall_millis()).get();
-            state.roster.note_list_read(state.clock.now());
+            state.registry.note_list_read(state.clock.now());
             put_in_force(state, list, stamp);
         }
         Err(error) => debug!(state.log, "list not read"; "error" => %error),
@@ -64,7 +64,7 @@
             return Ok(());
         }
     }
-    if state.roster.has_read_list(state.clock.now(), OWN_VALIDITY) {
+    if state.registry.has_read_list(state.clock.now(), OWN_VALIDITY) {
         return Ok(());
     }
     let body = exchange::get(state, peer, &format!("/list/{}", theirs.hash)).await?;
@@ -102,5 +102,5 @@
     }
     exchange::refresh_signs(state);
     state.changed.notify_one();
-    state.roster.hurry();
+    state.registry.wake();
 }
--- a/crates/node/src/control/membership.rs
+++ b/crates/node/src/control/membership.rs
@@ -14,30 +14,30 @@
 use tokio::sync::Notify;
 
 use crate::{
-    clock::{Dice, Monotonic, wall_millis},
+    clock::{Entropy, Monotonic, wall_millis},
     control::State,
     settings::Settings,
     wire,
 };
 
 /// The absence after which the own entry daemon counts as stopped.
-const ABSENCE: Duration = Duration::from_secs(1);
+const ABSENCE_LIMIT: Duration = Duration::from_secs(1);
 
 /// The least time between two comparisons of all signs.
 const SIGNS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// What the control daemon knows of entry hosts.
 #[derive(Debug)]
-pub struct Roster {
+pub struct Registry {
     members: Mutex<Membership>,
-    attendance: Mutex<Attendance>,
-    urgent: Notify,
+    presence: Mutex<Presence>,
+    wake: Notify,
 }
 
 /// What is known of the own daemons.
 #[derive(Debug, Default)]
-struct Attendance {
-    visits: u32,
+struct Presence {
+    sessions: u32,
     left: Option<Instant>,
     entry_is_stopping: bool,
     control_is_stopping: bool,
@@ -45,9 +45,9 @@
     signs_compared: Option<Instant>,
 }
 
-impl Roster {
-    /// The roster of a daemon that has not heard of others yet.
-    pub fn new(settings: &Settings, now: Instant) -> Roster {
+impl Registry {
+    /// The registry of a daemon that has not heard of others yet.
+    pub fn new(settings: &Settings, now: Instant) -> Registry {
         let own = Member {
             name: settings.host.name.clone(),
             incarnation: Incarnation(wall_millis()),
@@ -57,10 +57,10 @@
             relay_address: settings.entry.relay_address,
             peer_address: settings.control.peer_address,
         };
-        Roster {
+        Registry {
             members: Mutex::new(Membership::new(own, now)),
-            attendance: Mutex::default(),
-            urgent: Notify::new(),
+            presence: Mutex::default(),
+            wake: Notify::new(),
         }
     }
 
@@ -94,22 +94,22 @@
     }
 
     /// Asks for the next round at once, because there is something to tell.
-    pub fn hurry(&self) {
-        self.urgent.notify_one();
+    pub fn wake(&self) {
+        self.wake.notify_one();
     }
 
-    /// Returns when somebody is in a hurry.
-    pub async fn urgent(&self) {
-        self.urgent.notified().await;
+    /// Returns when somebody is in a wake.
+    pub async fn woken(&self) {
+        self.wake.notified().await;
     }
 
     /// The peers to ask in this round.
     pub fn round(&self, now: Instant) -> Vec<Target> {
-        self.members().round(now, &mut Dice)
+        self.members().round(now, &mut Entropy)
     }
 
     /// Seeds that belong to no host that is known.
-    pub fn strangers(&self, seeds: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+    pub fn unknown_seeds(&self, seeds: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
         let members = self.members();
         let is_known = |seed: &SocketAddr| {
             members.own().peer_address == *seed || members.peers().any(|m| m.peer_address == *seed)
@@ -123,8 +123,8 @@
     }
 
     /// Takes over what a host said; true if the whole membership should be compared with it.
-    pub fn hear(&self, gossip: &Gossip, now: Instant) -> bool {
-        self.members().hear(gossip, now, &mut Dice)
+    pub fn receive(&self, gossip: &Gossip, now: Instant) -> bool {
+        self.members().receive(gossip, now, &mut Entropy)
     }
 
     /// The digests of this host's membership.
@@ -138,13 +138,13 @@
     }
 
     /// Takes over members from a comparison.
-    pub fn absorb(&self, members: &[Member], now: Instant) {
-        self.members().absorb(members, now);
+    pub fn merge(&self, members: &[Member], now: Instant) {
+        self.members().merge(members, now);
     }
 
     /// Hosts that shall ask a silent one.
     pub fn helpers(&self, silent: &Name) -> Vec<Target> {
-        self.members().helpers(silent, &mut Dice)
+        self.members().helpers(silent, &mut Entropy)
     }
 
     /// Suspects a host that has not answered since `asked`.
@@ -152,55 +152,54 @@
         self.members().suspect(silent, asked, now);
     }
 
-    /// Counts the own entry daemon as present until the visit ends; a first visit is that of a
+    /// Counts the own entry daemon as present until the session ends; a first session is that of a
     /// daemon that has just started.
-    pub fn visit<'a>(&'a self, clock: &'a Monotonic, is_first: bool) -> Visit<'a> {
-        let mut attendance = self.attendance();
-        attendance.visits += 1;
+    pub fn open_session<'a>(&'a self, clock: &'a Monotonic, is_first: bool) -> Session<'a> {
+        let mut presence = self.presence();
+        presence.sessions += 1;
         if is_first {
-            attendance.entry_is_stopping = false;
+            presence.entry_is_stopping = false;
         }
-        Visit { roster: self, clock }
+        Session { registry: self, clock }
     }
 
     /// Takes note that the own entry daemon was told to stop.
     pub fn note_entry_stopping(&self) {
-        self.attendance().entry_is_stopping = true;
+        self.presence().entry_is_stopping = true;
     }
 
     /// Takes note that this daemon was told to stop.
     pub fn note_control_stopping(&self) {
-        self.attendance().control_is_stopping = true;
+        self.presence().control_is_stopping = true;
     }
 
     /// Takes note that this host has read the platform's list.
     pub fn note_list_read(&self, now: Instant) {
-        self.attendance().list_read = Some(now);
+        self.presence().list_read = Some(now);
     }
 
     /// Whether this host has read the platform's list within `validity`.
     pub fn has_read_list(&self, now: Instant, validity: Duration) -> bool {
-        self.attendance().list_read.is_some_and(|read| now.since(read) < validity)
+        self.presence().list_read.is_some_and(|read| now.since(read) < validity)
     }
 
     /// Whether it is time to compare all signs with a peer; the time starts anew if so.
     pub fn may_compare_signs(&self, now: Instant) -> bool {
-        let mut attendance = self.attendance();
-        let is_due = attendance.signs_compared.is_none_or(|at| now.since(at) >= SIGNS_INTERVAL);
+        let mut presence = self.presence();
+        let is_due = presence.signs_compared.is_none_or(|at| now.since(at) >= SIGNS_INTERVAL);
         if is_due {
-            attendance.signs_compared = Some(now);
+            presence.signs_compared = Some(now);
         }
         is_due
     }
 
     fn condition(&self, is_drained: bool, has_shares: bool, now: Instant) -> Condition {
-        let attendance = self.attendance();
-        let is_served =
-            attendance.visits > 0 || attendance.left.is_some_and(|left| now.since(left) < ABSENCE);
-        let is_leaving =
-            attendance.entry_is_stopping || attendance.control_is_stopping || is_drained;
+        let presence = self.presence();
+        let is_served = presence.sessions > 0
+            || presence.left.is_some_and(|left| now.since(left) < ABSENCE_LIMIT);
+        let is_leaving = presence.entry_is_stopping || presence.control_is_stopping || is_drained;
         match (is_served, has_shares) {
-            (false, _) if attendance.control_is_stopping => Condition::Gone,
+            (false, _) if presence.control_is_stopping => Condition::Gone,
             _ if is_leaving => Condition::Leaving,
             (true, true) => Condition::Live,
             _ => Condition::Starting,
@@ -211,23 +210,23 @@
         self.members.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn attendance(&self) -> MutexGuard<'_, Attendance> {
-        self.attendance.lock().unwrap_or_else(PoisonError::into_inner)
+    fn presence(&self) -> MutexGuard<'_, Presence> {
+        self.presence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// An open question of the own entry daemon.
 #[derive(Debug)]
-pub struct Visit<'a> {
-    roster: &'a Roster,
+pub struct Session<'a> {
+    registry: &'a Registry,
     clock: &'a Monotonic,
 }
 
-impl Drop for Visit<'_> {
+impl Drop for Session<'_> {
     fn drop(&mut self) {
-        let mut attendance = self.roster.attendance();
-        attendance.visits -= 1;
-        attendance.left = Some(self.clock.now());
+        let mut presence = self.registry.presence();
+        presence.sessions -= 1;
+        presence.left = Some(self.clock.now());
     }
 }
 
@@ -245,9 +244,9 @@
         let mut zones = draft.drains.zones.iter().map(|zone| &draft.zones[usize::from(zone.0)]);
         draft.drains.entry_hosts.contains(name) || zones.any(|z| z.name.as_str() == zone)
     });
-    let condition = state.roster.condition(is_drained, has_shares && state.is_ready(), now);
+    let condition = state.registry.condition(is_drained, has_shares && state.is_ready(), now);
     let (news, is_new) = {
-        let mut members = state.roster.members();
+        let mut members = state.registry.members();
         let before = members.own().state;
         members.declare(condition, now);
         if let Some(draft) = &accepted {
@@ -260,7 +259,7 @@
         state.record(Kind::HostChanged, member.name.as_str(), detail);
     }
     if is_new {
-        state.roster.hurry();
+        state.registry.wake();
     }
     if is_new || !news.is_empty() {
         state.changed.notify_one();
--- a/crates/node/src/control/operator.rs
+++ b/crates/node/src/control/operator.rs
@@ -180,7 +180,7 @@
 impl HostReport {
     /// The report of a host that did not answer, with what others told of it.
     fn silent(state: &State, address: SocketAddr) -> HostReport {
-        let hosts = state.roster.hosts();
+        let hosts = state.registry.hosts();
         let known = hosts.iter().find(|host| host.peer_address == address);
         HostReport {
             name: known.map(|host| host.name.clone()),
@@ -225,7 +225,7 @@
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(context: RequestContext<State>) -> Result<HttpResponseOk<Status>, HttpError> {
     let state = context.context();
-    let hosts = state.roster.hosts();
+    let hosts = state.registry.hosts();
     let inner = state.lock();
     let hosts = hosts.into_iter().map(|host| HostStatus {
         state: format!("{:?}", host.state).to_lowercase(),
--- a/crates/node/src/control/publication.rs
+++ b/crates/node/src/control/publication.rs
@@ -39,7 +39,7 @@
 }
 
 fn publish_next(state: &State) {
-    let hosts = state.roster.hosts();
+    let hosts = state.registry.hosts();
     let now = state.clock.now();
     let mut inner = state.lock();
     let Some(accepted) = inner.accepted.clone() else { return };
--- a/crates/node/src/control/shares/record.rs
+++ b/crates/node/src/control/shares/record.rs
@@ -90,7 +90,7 @@
 /// Whether this host is the first by rank among those that are live.
 fn is_first(state: &State) -> bool {
     let own = state.settings.host.name.as_str();
-    let mut hosts = state.roster.hosts();
+    let mut hosts = state.registry.hosts();
     hosts.retain(|host| host.state == wire::HostState::Live);
     let first = rank::first(&hosts, &row_key(state), |host| &host.name);
     first.is_some_and(|first| first.name == own)
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -15,7 +15,7 @@
     clock::{Monotonic, wall_millis},
     codec,
     control::{
-        membership::Roster,
+        membership::Registry,
         parts::{self, Parts, Source},
         shares::Shares,
         timeline::Journal,
@@ -52,7 +52,7 @@
     /// Told when something that the entry daemon must know has changed.
     pub changed: Notify,
     /// What is known of entry hosts.
-    pub roster: Roster,
+    pub registry: Registry,
     /// Held by the task that gathers a document, so that no part is fetched twice.
     gathering: tokio::sync::Mutex<()>,
     inner: Mutex<Inner>,
@@ -135,7 +135,7 @@
         let state = State(Arc::new(Shared {
             store: Store::new(&settings.platform),
             peers: Client::new(Protocol::Http2),
-            roster: Roster::new(&settings, clock.now()),
+            registry: Registry::new(&settings, clock.now()),
             clock,
             hybrid: Hybrid::default(),
             changed: Notify::new(),
@@ -231,7 +231,7 @@
         }
         self.record(Kind::InForce, shown.version.to_string(), detail);
         self.changed.notify_one();
-        self.roster.hurry();
+        self.registry.wake();
     }
 
     /// Takes note that the store has told what is in force.
@@ -258,7 +258,7 @@
         if first {
             self.record(Kind::ServerLeaving, subject, detail);
             self.changed.notify_one();
-            self.roster.hurry();
+            self.registry.wake();
         }
     }
 }
--- a/crates/node/src/control/survey.rs
+++ b/crates/node/src/control/survey.rs
@@ -26,7 +26,7 @@
 /// Asks all hosts that the settings name or that were heard of.
 pub async fn ask_all<T: DeserializeOwned>(state: &State, path: &str) -> Vec<Answer<T>> {
     let mut addresses = state.settings.control.peers.clone();
-    addresses.extend(state.roster.peers());
+    addresses.extend(state.registry.peers());
     addresses.sort_unstable();
     addresses.dedup();
     addresses.retain(|address| *address != state.settings.control.peer_address);
--- a/crates/node/src/control/timeline.rs
+++ b/crates/node/src/control/timeline.rs
@@ -128,7 +128,7 @@
 
 fn next_batch(state: &State) -> Option<Batch> {
     let hour = folder(state, wall_millis() / HOUR_MILLIS);
-    let folder = format!("{hour}{}-{}", state.settings.host.name, state.roster.incarnation().0);
+    let folder = format!("{hour}{}-{}", state.settings.host.name, state.registry.incarnation().0);
     state.lock().journal.next_batch(&folder)
 }
 
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -17,7 +17,7 @@
 use slog::debug;
 
 use crate::{
-    clock::Dice,
+    clock::Entropy,
     entry::{
         health,
         parcel::Parcel,
@@ -220,7 +220,7 @@
 /// requests there, the last dispatching host for example.
 fn hold(lease: Lease) {
     tokio::spawn(async move {
-        tokio::time::sleep(jitter(SHED_PAUSE, &mut Dice)).await;
+        tokio::time::sleep(jitter(SHED_PAUSE, &mut Entropy)).await;
         drop(lease);
     });
 }
--- a/crates/oleanderspan/src/entry/membership.rs
+++ b/crates/oleanderspan/src/entry/membership.rs
@@ -183,7 +183,7 @@
     }
 
     /// Takes a message over; true if the sender knows something else and it is time to compare.
-    pub fn hear(&mut self, gossip: &Gossip, now: Instant, random: &mut impl Random) -> bool {
+    pub fn receive(&mut self, gossip: &Gossip, now: Instant, random: &mut impl Random) -> bool {
         for member in gossip.changes.iter().chain([&gossip.from]) {
             if self.learn(member, now) {
                 self.rumors.push(member.name.clone());
@@ -213,7 +213,7 @@
     }
 
     /// Takes over what a comparison showed; it is not sent on as news, as it may be everything.
-    pub fn absorb(&mut self, members: &[Member], now: Instant) {
+    pub fn merge(&mut self, members: &[Member], now: Instant) {
         for member in members {
             self.learn(member, now);
         }
