Give plots an error of their own

Cause: the house style wants plain enums for errors; plots returned a boxed one. Change: plot::Error.

--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -15,7 +15,7 @@
 pub mod trace;
 pub mod world;
 
-use std::{error::Error, fs, path::Path};
+use std::{fs, path::Path};
 
 pub use report::{Measure, Report};
 pub use suite::Suite;
@@ -23,14 +23,14 @@
 use crate::measure::contender::Contender;
 
 /// Runs every measure, and draws pictures into `folder` if there is one.
-pub fn run(suite: &Suite, folder: Option<&Path>) -> Result<Report, Box<dyn Error>> {
+pub fn run(suite: &Suite, folder: Option<&Path>) -> Result<Report, plot::Error> {
     let (latency, latency_runs) = suite.latency();
     let (failover, failover_runs) = suite.failover();
     let (shift, shift_runs) = suite.shift();
     if let Some(folder) = folder {
         let names: Vec<&str> = suite.deployment.regions.iter().map(|r| r.name).collect();
         let file = |name: &str| folder.join(format!("{}-{name}.svg", suite.deployment.name));
-        fs::create_dir_all(folder)?;
+        fs::create_dir_all(folder).map_err(plot::Error::Folder)?;
         plot::latency(&file("latency"), &latency_runs)?;
         let own = |(way, _): &&(Contender, _)| *way == Contender::Dispatched;
         for (name, runs) in [("failover", &failover_runs), ("shift", &shift_runs)] {
--- a/crates/lab/src/measure/plot.rs
+++ b/crates/lab/src/measure/plot.rs
@@ -1,14 +1,40 @@
 //! Pictures for operators: latency by percentile, and regions over time.
 
-use std::{error::Error, path::Path};
+use std::{fmt, io, path::Path};
 
-use plotters::prelude::*;
+use plotters::{drawing::DrawingAreaErrorKind, prelude::*};
 
 use crate::measure::{
     contender::{Contender, millis},
     trace::{Trace, Window, quantile},
 };
 
+/// Why a picture was not drawn.
+#[derive(Debug)]
+pub enum Error {
+    /// Its folder could not be made.
+    Folder(io::Error),
+    /// It could not be drawn or written.
+    Draw(DrawingAreaErrorKind<io::Error>),
+}
+
+impl From<DrawingAreaErrorKind<io::Error>> for Error {
+    fn from(error: DrawingAreaErrorKind<io::Error>) -> Error {
+        Error::Draw(error)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Folder(error) => error.fmt(f),
+            Error::Draw(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
 /// Width and height of a picture, in pixels.
 const SIZE: (u32, u32) = (960, 540);
 
@@ -16,13 +42,13 @@
 const NINES: f64 = 3.5;
 
 /// Draws latency over percentiles, one line for each way of deciding.
-pub fn latency(file: &Path, runs: &[(Contender, Trace)]) -> Result<(), Box<dyn Error>> {
+pub fn latency(file: &Path, runs: &[(Contender, Trace)]) -> Result<(), Error> {
     let lines = runs.iter().map(|(way, trace)| (way.as_str().to_owned(), percentiles(trace)));
     draw(file, "nines of requests (1 = p90, 2 = p99, 3 = p99.9)", "latency, ms", lines.collect())
 }
 
 /// Draws what fills each region, and the shares of the first region's callers, over time.
-pub fn regions(file: &Path, names: &[&str], trace: &Trace) -> Result<(), Box<dyn Error>> {
+pub fn regions(file: &Path, names: &[&str], trace: &Trace) -> Result<(), Error> {
     let in_flight = names.iter().enumerate().map(|(i, name)| {
         let percent = |in_flight: u32, ceiling: u32| match ceiling {
             0 => 0.0,
@@ -49,12 +75,7 @@
     steps.map(|nines| (nines, millis(quantile(&latencies, 1.0 - 10f64.powf(-nines))))).collect()
 }
 
-fn draw(
-    file: &Path,
-    x: &str,
-    y: &str,
-    lines: Vec<(String, Vec<(f64, f64)>)>,
-) -> Result<(), Box<dyn Error>> {
+fn draw(file: &Path, x: &str, y: &str, lines: Vec<(String, Vec<(f64, f64)>)>) -> Result<(), Error> {
     let points = || lines.iter().flat_map(|(_, points)| points);
     let right = points().map(|point| point.0).fold(0.0, f64::max);
     let top = points().map(|point| point.1).fold(0.0, f64::max) * 1.05;
