Let requests wait through a takeover of dispatch

A host that takes over dispatch holds requests for up to 3 s while the one before, whose control daemon is silent, may still admit; requests may queue for 2 s.

Change: the time limit of the queue grows by the longest hold while a pool is held, within the time limit of the request. The hold itself stays, as it keeps two hosts from filling a region beyond its ceiling.

Ruled out: a shorter hold; an entry daemon goes on for 2.5 s after its control daemon fell silent.

--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -10,7 +10,7 @@
     entry::membership::jitter,
     event::Kind,
     prelude::*,
-    region,
+    region::{self, handover},
     request::{Outcome, Refusal, Repeat, retry::Deadline},
     service,
 };
@@ -115,9 +115,12 @@
     call: Call<'_>,
     parcel: &mut Parcel,
 ) -> Result<Answer, Refusal> {
-    let limits = &snapshot.described(call.service).limits;
-    let wait = call.left(state.clock.now())?.min(limits.queue_timeout);
-    let lease = slot::acquire(snapshot.pool(call.service, call.region), state.clock, wait).await?;
+    let pool = snapshot.pool(call.service, call.region);
+    let queue_timeout = snapshot.described(call.service).limits.queue_timeout;
+    // A takeover of dispatch is no overload: its hold does not count against the queue.
+    let hold = if pool.is_held() { handover::LONGEST_HOLD } else { Duration::ZERO };
+    let wait = call.left(state.clock.now())?.min(queue_timeout + hold);
+    let lease = slot::acquire(pool, state.clock, wait).await?;
     let server = lease.server().cloned().ok_or(Refusal::NoServer)?;
     let first = send(state, snapshot, call, parcel, lease)?;
     if call.repeat == Repeat::Forbidden || !parcel.can_send() {
