Add routes, listed servers, slow start and admission to the decisions

Cause: on a platform that keeps routes and servers in a store of its own, the product lacked the decisions for them. Change: route (tables, splits by error diffusion), backend::listing (entries that come late, twice or lapse with the store), backend::cold (slow start), request::admission (who waits, who is refused at once), entry::roster (which hosts live). The pool serves waiters by rank and prefers servers that know a request's object; the product's own queue keeps its order and its cut.

--- a/crates/oleanderspan/src/availability.rs
+++ b/crates/oleanderspan/src/availability.rs
@@ -1,5 +1,9 @@
 //! Availability zones, the smallest part of a region that fails as one.
 
+pub mod atlas;
+
+pub use atlas::Atlas;
+
 use crate::{prelude::*, region};
 
 checked_name! {
--- /dev/null
+++ b/crates/oleanderspan/src/availability/atlas.rs
@@ -0,0 +1,51 @@
+//! Which zone lies in which region, as the settings of a host tell.
+
+use crate::{availability, region};
+
+/// All zones and regions.
+#[derive(Clone, Debug, Default)]
+pub struct Atlas {
+    regions: Vec<region::Name>,
+    zones: Vec<(availability::Name, region::Index)>,
+}
+
+impl Atlas {
+    /// Adds a zone; its region is added as well if it is new.
+    pub fn add(&mut self, zone: availability::Name, region: region::Name) {
+        let known = self.regions.iter().position(|known| *known == region);
+        let position = known.unwrap_or(self.regions.len());
+        if position == self.regions.len() {
+            self.regions.push(region);
+        }
+        let position = u16::try_from(position).unwrap_or(u16::MAX);
+        self.zones.push((zone, region::Index(position)));
+    }
+
+    /// Finds a zone and its region by the zone's name.
+    pub fn find(&self, zone: &str) -> Option<(availability::Index, region::Index)> {
+        let position = self.zones.iter().position(|(known, _)| known.as_str() == zone)?;
+        let index = availability::Index(u16::try_from(position).ok()?);
+        Some((index, self.zones[position].1))
+    }
+
+    /// The name of a zone.
+    pub fn zone(&self, zone: availability::Index) -> Option<&availability::Name> {
+        self.zones.get(usize::from(zone.0)).map(|(name, _)| name)
+    }
+
+    /// The region that a zone lies in.
+    pub fn region_of(&self, zone: availability::Index) -> Option<region::Index> {
+        self.zones.get(usize::from(zone.0)).map(|(_, region)| *region)
+    }
+
+    /// Finds a region by name.
+    pub fn region(&self, name: &str) -> Option<region::Index> {
+        let position = self.regions.iter().position(|known| known.as_str() == name)?;
+        u16::try_from(position).ok().map(region::Index)
+    }
+
+    /// The regions, in the order of their indices.
+    pub fn regions(&self) -> impl Iterator<Item = (region::Index, &region::Name)> {
+        (0u16..).map(region::Index).zip(&self.regions)
+    }
+}
--- a/crates/oleanderspan/src/backend.rs
+++ b/crates/oleanderspan/src/backend.rs
@@ -1,9 +1,12 @@
 //! Backend servers: their state, their slots, and the queue before them.
 
+pub mod cold;
+pub mod listing;
 pub mod pool;
 pub mod server;
 pub mod sign;
 
+pub use listing::Listing;
 pub use pool::{Pool, Waiter};
 pub use server::Server;
 pub use sign::Signs;
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -5,7 +5,12 @@
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
 
-use crate::{backend::Server, prelude::*, region::Gate};
+use crate::{
+    backend::{Server, server::Object},
+    entry::rank,
+    prelude::*,
+    region::Gate,
+};
 
 /// Someone who waits for a slot.
 pub trait Waiter {
@@ -30,13 +35,58 @@
 /// The part by which one answer moves the typical latency, as a divisor.
 const TYPICAL_DIVISOR: u64 = 64;
 
+/// The part by which one answer moves the mean latency, as a divisor.
+const MEAN_DIVISOR: u64 = 32;
+
 /// The part of its limit, in percent, after which a waiter shows that the queue is hopeless.
 const HOPELESS_PERCENT: u32 = 90;
 
 /// The part of its limit, in percent, that a waiter may have waited in a hopeless queue.
 const FRESH_PERCENT: u32 = 5;
 
-/// Dispatches requests to servers, first come first served.
+/// The ranks of waiters: those in time by priority, then those that are late, by priority.
+const RANKS: usize = 2 * PRIORITIES;
+
+/// Priorities that are told apart; lower ones share the last.
+const PRIORITIES: usize = 4;
+
+key! {
+    /// The place of a waiter among others: lower ranks are served first.
+    #[derive(Default)]
+    pub struct Rank(u8);
+}
+
+impl Rank {
+    /// The rank of a request: whoever can still be served within its objective goes before those
+    /// who can't, and within both the priority decides.
+    pub fn new(priority: u8, is_late: bool) -> Rank {
+        let priority = usize::from(priority).min(PRIORITIES - 1);
+        let rank = if is_late { PRIORITIES + priority } else { priority };
+        Rank(u8::try_from(rank).unwrap_or(u8::MAX))
+    }
+}
+
+/// What a request wants of its server.
+#[derive(Clone, Debug, Default)]
+pub struct Wish {
+    /// The object that it is about, if a server that knows it is faster.
+    pub object: Option<Object>,
+    /// A server that has failed it.
+    pub not: Option<crate::backend::Name>,
+}
+
+/// What becomes of waiters when the queue is too long.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Overload {
+    /// Once a waiter has waited nearly as long as he may, only fresh ones are served until the
+    /// queue has been empty.
+    #[default]
+    Cut,
+    /// Waiters are admitted by the expected wait, so that each is served or expires.
+    Admit,
+}
+
+/// Dispatches requests to servers, first come first served within a rank.
 ///
 /// A slot is taken before a waiter is taken from the queue, and the queue is looked at again
 /// after every return of a slot, so no waiter is left behind while a slot is free. Nothing here
@@ -45,17 +95,20 @@
 pub struct Pool<W> {
     servers: ArcSwap<Vec<Arc<Server>>>,
     gate: Gate,
-    queue: SegQueue<Place<W>>,
+    queues: [SegQueue<Place<W>>; RANKS],
+    overload: Overload,
     /// Whether the queue has been hopeless since it was last empty.
     overloaded: AtomicBool,
     turn: AtomicU32,
     typical_nanos: AtomicU64,
+    mean_nanos: AtomicU64,
 }
 
 /// A place in the queue.
 #[derive(Debug)]
 struct Place<W> {
     waiter: W,
+    wish: Wish,
     since: Instant,
     limit: Duration,
 }
@@ -68,15 +121,22 @@
 }
 
 impl<W: Waiter> Pool<W> {
-    /// A pool with no servers.
+    /// A pool with no servers that cuts a hopeless queue.
     pub fn new() -> Pool<W> {
+        Pool::with_overload(Overload::Cut)
+    }
+
+    /// A pool with no servers.
+    pub fn with_overload(overload: Overload) -> Pool<W> {
         Pool {
             servers: ArcSwap::default(),
             gate: Gate::new(0),
-            queue: SegQueue::new(),
+            queues: [const { SegQueue::new() }; RANKS],
+            overload,
             overloaded: AtomicBool::new(false),
             turn: AtomicU32::new(0),
             typical_nanos: AtomicU64::new(0),
+            mean_nanos: AtomicU64::new(0),
         }
     }
 
@@ -105,7 +165,21 @@
 
     /// Requests that wait.
     pub fn queued(&self) -> usize {
-        self.queue.len()
+        self.queues.iter().map(SegQueue::len).sum()
+    }
+
+    /// Requests that wait and would be served before one of `rank`.
+    pub fn queued_before(&self, rank: Rank) -> usize {
+        self.queues.iter().take(usize::from(rank.0) + 1).map(SegQueue::len).sum()
+    }
+
+    /// The mean time for which requests hold a slot, or zero before the first answer.
+    pub fn mean_latency(&self) -> Duration {
+        Duration::from_nanos(self.mean_nanos.load(Ordering::Relaxed))
+    }
+
+    fn is_queue_empty(&self) -> bool {
+        self.queues.iter().all(SegQueue::is_empty)
     }
 
     /// Takes the latency of an answer into account.
@@ -118,6 +192,11 @@
             _ => Some(typical - typical / TYPICAL_DIVISOR),
         };
         let _ = self.typical_nanos.fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
+        let mean = |mean: u64| match mean {
+            0 => Some(sample),
+            _ => Some(mean - mean / MEAN_DIVISOR + sample / MEAN_DIVISOR),
+        };
+        let _ = self.mean_nanos.fetch_update(Ordering::Relaxed, Ordering::Relaxed, mean);
         server.observe(latency.min(self.typical_latency().saturating_mul(MAX_SAMPLE)));
     }
 
@@ -128,25 +207,39 @@
 
     /// Takes a slot at once if nobody waits before.
     pub fn try_acquire(&self) -> Option<Arc<Server>> {
-        if self.queue.is_empty() { self.take() } else { None }
+        if self.is_queue_empty() { self.take(Instant::ZERO) } else { None }
+    }
+
+    /// Takes a slot at once for a request with a wish, if nobody waits before.
+    pub fn try_acquire_for(&self, wish: &Wish, now: Instant) -> Option<Arc<Server>> {
+        if !self.is_queue_empty() {
+            return None;
+        }
+        let refused = |server: &Server| wish.not.as_ref() == Some(&server.identity.name);
+        self.take_where(wish.object, now, |server| !refused(server))
     }
 
     /// Takes a slot on a server other than `not`, for a retry or a hedge.
     pub fn try_acquire_other(&self, not: &Server) -> Option<Arc<Server>> {
-        if !self.queue.is_empty() {
+        if !self.is_queue_empty() {
             return None;
         }
-        self.take_where(|server| !std::ptr::eq(server, not))
+        self.take_where(None, Instant::ZERO, |server| !std::ptr::eq(server, not))
     }
 
     /// Queues a waiter, who is granted a free slot in turn or refused under overload.
     ///
     /// `limit` is how long it would wait; it may give up by itself at any time.
     pub fn enqueue(&self, waiter: W, limit: Duration, now: Instant) {
-        if self.queue.is_empty() {
+        self.enqueue_ranked(waiter, Rank::default(), Wish::default(), limit, now);
+    }
+
+    /// Queues a waiter behind those of its rank.
+    pub fn enqueue_ranked(&self, waiter: W, rank: Rank, wish: Wish, limit: Duration, now: Instant) {
+        if self.is_queue_empty() {
             self.overloaded.store(false, Ordering::Relaxed);
         }
-        self.queue.push(Place { waiter, since: now, limit });
+        self.queues[usize::from(rank.0)].push(Place { waiter, wish, since: now, limit });
         self.pump(now);
     }
 
@@ -157,11 +250,15 @@
         self.pump(now);
     }
 
-    fn pump(&self, now: Instant) {
-        while !self.queue.is_empty() {
-            let Some(server) = self.take() else { return };
-            let granted = match self.next_waiter(now) {
-                Some(waiter) => waiter.grant(server),
+    /// Hands free slots to waiters; also called by a timer, as cold servers free up with time.
+    pub fn pump(&self, now: Instant) {
+        while !self.is_queue_empty() {
+            let Some(server) = self.take(now) else { return };
+            let granted = match self.next_place(now) {
+                Some(place) => {
+                    let server = self.exchange(server, &place.wish, now);
+                    place.waiter.grant(server)
+                }
                 None => Err(server),
             };
             if let Err(server) = granted {
@@ -176,47 +273,94 @@
     ///
     /// Without that, an overload would leave a queue in which everybody waits nearly as long
     /// as he can, and it would stay for long after; see `docs/MEASURES.md`, "Overload".
-    fn next_waiter(&self, now: Instant) -> Option<W> {
-        let mut place = self.queue.pop()?;
+    fn next_place(&self, now: Instant) -> Option<Place<W>> {
+        let mut place = self.pop()?;
+        if self.overload == Overload::Admit {
+            while place.is_older(100, now) {
+                place.waiter.refuse();
+                place = self.pop()?;
+            }
+            return Some(place);
+        }
         if place.is_older(HOPELESS_PERCENT, now) {
             self.overloaded.store(true, Ordering::Relaxed);
         }
         if self.overloaded.load(Ordering::Relaxed) {
             while place.is_older(FRESH_PERCENT, now) {
                 place.waiter.refuse();
-                place = self.queue.pop()?;
+                place = self.pop()?;
+            }
+        }
+        Some(place)
+    }
+
+    fn pop(&self) -> Option<Place<W>> {
+        self.queues.iter().find_map(SegQueue::pop)
+    }
+
+    /// Exchanges a slot that is taken for a free one that suits the request better: one of a
+    /// server that knows its object, or of another server than the one that failed it.
+    fn exchange(&self, taken: Arc<Server>, wish: &Wish, now: Instant) -> Arc<Server> {
+        let has_failed = wish.not.as_ref() == Some(&taken.identity.name);
+        let is_warm = wish.object.is_none_or(|object| taken.knows(object));
+        if !has_failed && is_warm {
+            return taken;
+        }
+        let suits = |server: &Server| {
+            wish.not.as_ref() != Some(&server.identity.name)
+                && (has_failed || wish.object.is_some_and(|object| server.knows(object)))
+        };
+        let servers = self.servers.load();
+        while let Some(server) = self.best(&servers, wish.object, now, suits) {
+            if server.try_take() {
+                if server.cold().try_pass(now) {
+                    taken.give_back();
+                    return Arc::clone(server);
+                }
+                server.give_back();
             }
         }
-        Some(place.waiter)
+        taken
     }
 
-    fn take(&self) -> Option<Arc<Server>> {
-        self.take_where(|_| true)
+    fn take(&self, now: Instant) -> Option<Arc<Server>> {
+        self.take_where(None, now, |_| true)
     }
 
-    fn take_where(&self, usable: impl Fn(&Server) -> bool) -> Option<Arc<Server>> {
+    fn take_where(
+        &self,
+        object: Option<Object>,
+        now: Instant,
+        usable: impl Fn(&Server) -> bool,
+    ) -> Option<Arc<Server>> {
         if !self.gate.try_enter() {
             return None;
         }
         let servers = self.servers.load();
         // A lost race for the last slot of a server means that another request got it, so the
         // loop ends after at most as many rounds as there are slots.
-        while let Some(server) = self.best(&servers, &usable) {
+        while let Some(server) = self.best(&servers, object, now, &usable) {
             if server.try_take() {
-                return Some(Arc::clone(server));
+                if server.cold().try_pass(now) {
+                    return Some(Arc::clone(server));
+                }
+                server.give_back();
             }
         }
         self.gate.leave();
         None
     }
 
-    /// The server with the most free slots; among equals the turn decides.
+    /// The server with the most free slots, or the one that suits an object best; among equals
+    /// the turn decides.
     ///
     /// Suspect and slow servers come last and are not shut out: the ceiling leaves some slots
     /// idle, and those are then theirs, but under pressure every slot counts.
     fn best<'a>(
         &self,
         servers: &'a [Arc<Server>],
+        object: Option<Object>,
+        now: Instant,
         usable: impl Fn(&Server) -> bool,
     ) -> Option<&'a Arc<Server>> {
         if servers.is_empty() {
@@ -225,11 +369,19 @@
         let start = self.turn.fetch_add(1, Ordering::Relaxed) as usize % servers.len();
         let (behind, ahead) = servers.split_at(start);
         let candidates = ahead.iter().chain(behind).filter(|server| usable(server));
-        let free = candidates.filter(|server| server.free() > 0);
+        let free = candidates.filter(|server| server.free() > 0 && server.cold().is_open(now));
         let typical = self.typical_nanos.load(Ordering::Relaxed);
         let slow = Duration::from_nanos(typical.saturating_mul(SLOW_PERCENT) / 100);
         let is_sound = |server: &Server| !server.is_suspect();
-        free.max_by_key(|server| (is_sound(server), server.latency() <= slow, server.free()))
+        // Equal servers are told apart by a rank of the object, so that its requests meet again.
+        let affinity = |server: &Server| match object {
+            None => 0,
+            Some(object) if server.knows(object) => u64::MAX,
+            Some(object) => rank::weight_of(object.hash(), server.identity.name.as_str()) >> 1,
+        };
+        free.max_by_key(|server| {
+            (is_sound(server), server.latency() <= slow, affinity(server), server.free())
+        })
     }
 }
 
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -1,8 +1,12 @@
 //! One backend server as a dispatching host sees it.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 
-use crate::{availability, backend, prelude::*};
+use crate::{
+    availability,
+    backend::{self, cold},
+    prelude::*,
+};
 
 value! {
     /// Which start of which server: a server that comes back is a new one.
@@ -21,6 +25,27 @@
 /// The weight of a new sample in the moving average of latency, as a divisor.
 const SAMPLE_DIVISOR: u64 = 8;
 
+/// Objects that a server is expected to be warm for; the platform's instances keep 10 to 33.
+const REMEMBERED_OBJECTS: usize = 16;
+
+key! {
+    /// The thing that a request is about, as a hash; a server is faster on one that it knows.
+    pub struct Object(u64);
+}
+
+impl Object {
+    /// The object of a hash.
+    pub const fn from_hash(hash: u64) -> Object {
+        // Zero marks a free place in a server's memory.
+        Object(if hash == 0 { 1 } else { hash })
+    }
+
+    /// The hash.
+    pub const fn hash(self) -> u64 {
+        self.0
+    }
+}
+
 /// A backend server, with the counts that requests change.
 ///
 /// The counts stay with the server over snapshots, so they are shared by reference.
@@ -38,6 +63,10 @@
     latency_nanos: AtomicU64,
     failures: AtomicU32,
     answered_at: AtomicU64,
+    cold: cold::Limiter,
+    barred: AtomicBool,
+    objects: [AtomicU64; REMEMBERED_OBJECTS],
+    next_object: AtomicUsize,
 }
 
 impl Server {
@@ -58,12 +87,16 @@
             latency_nanos: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             answered_at: AtomicU64::new(0),
+            cold: cold::Limiter::warm(),
+            barred: AtomicBool::new(false),
+            objects: [const { AtomicU64::new(0) }; REMEMBERED_OBJECTS],
+            next_object: AtomicUsize::new(0),
         }
     }
 
     /// Takes a slot, or returns `false` if none is free or the server is leaving.
     pub fn try_take(&self) -> bool {
-        if self.is_leaving() {
+        if self.is_leaving() || self.is_barred() {
             return false;
         }
         self.in_flight
@@ -83,7 +116,37 @@
 
     /// Slots that are free by this host's own count.
     pub fn free(&self) -> u32 {
-        if self.is_leaving() { 0 } else { self.slots.saturating_sub(self.in_flight()) }
+        let takes_none = self.is_leaving() || self.is_barred();
+        if takes_none { 0 } else { self.slots.saturating_sub(self.in_flight()) }
+    }
+
+    /// The limit of requests while the server is cold.
+    pub fn cold(&self) -> &cold::Limiter {
+        &self.cold
+    }
+
+    /// Bars the server from new requests, or lifts the bar, as its zone is evacuated or taken
+    /// back.
+    pub fn set_barred(&self, barred: bool) {
+        self.barred.store(barred, Ordering::SeqCst);
+    }
+
+    /// Whether the server's zone is evacuated.
+    pub fn is_barred(&self) -> bool {
+        self.barred.load(Ordering::SeqCst)
+    }
+
+    /// Remembers an object that the server has been sent a request for.
+    pub fn note_object(&self, object: Object) {
+        if !self.knows(object) {
+            let place = self.next_object.fetch_add(1, Ordering::Relaxed) % REMEMBERED_OBJECTS;
+            self.objects[place].store(object.0, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the server has lately been sent a request for an object, so that it is faster.
+    pub fn knows(&self, object: Object) -> bool {
+        self.objects.iter().any(|known| known.load(Ordering::Relaxed) == object.0)
     }
 
     /// Slots in all.
--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -4,10 +4,12 @@
 pub mod locate;
 pub mod membership;
 pub mod rank;
+pub mod roster;
 
 pub use host::Host;
 pub use locate::{Answer, Directory, Policy};
 pub use membership::{Member, Membership};
+pub use roster::Roster;
 
 checked_name! {
     /// The name of an entry host.
--- a/crates/oleanderspan/src/entry/rank.rs
+++ b/crates/oleanderspan/src/entry/rank.rs
@@ -9,6 +9,11 @@
     xxh3_64_with_seed(host.as_bytes(), xxh3_64_with_seed(subject.as_bytes(), 0))
 }
 
+/// The rank of `host` for a subject that is known by its hash.
+pub fn weight_of(subject: u64, host: &str) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), subject)
+}
+
 /// Sorts hosts by falling rank; equal ranks fall back to the name.
 pub fn sort<T>(hosts: &mut [T], subject: &str, name: impl Fn(&T) -> &str) {
     hosts.sort_by_cached_key(|host| {
--- /dev/null
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -0,0 +1,89 @@
+//! Which hosts take requests, as one host sees the others of its region.
+//!
+//! The platform's store tells who exists; whether one lives is told by its answers alone, so that
+//! a host that is dead, frozen or cut off is no longer named to clients after a short while.
+
+use crate::{entry, prelude::*};
+
+/// How long a host is believed to live after its last answer: three missed questions.
+pub const SILENCE: Duration = Duration::from_millis(1_600);
+
+/// How often each host is asked.
+pub const INTERVAL: Duration = Duration::from_millis(500);
+
+/// A host of the same region.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub name: entry::Name,
+    /// Where clients reach it.
+    pub callers: SocketAddr,
+    /// Where other hosts reach it.
+    pub address: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Seen {
+    peer: Peer,
+    /// Its last answer; none since it was listed or failed.
+    answered_at: Option<Instant>,
+    is_leaving: bool,
+}
+
+/// The other hosts of a region.
+#[derive(Debug, Default)]
+pub struct Roster {
+    seen: Map<entry::Name, Seen>,
+}
+
+impl Roster {
+    /// Takes a listed host; returns whether that is news. A host that is listed with new
+    /// addresses has to answer there first.
+    pub fn list(&mut self, peer: Peer) -> bool {
+        if self.seen.get(&peer.name).is_some_and(|seen| seen.peer == peer) {
+            return false;
+        }
+        let name = peer.name.clone();
+        self.seen.insert(name, Seen { peer, answered_at: None, is_leaving: false });
+        true
+    }
+
+    /// Takes a host that is no longer listed.
+    pub fn unlist(&mut self, name: &entry::Name) -> bool {
+        self.seen.remove(name).is_some()
+    }
+
+    /// The listed hosts.
+    pub fn listed(&self) -> impl Iterator<Item = &Peer> {
+        self.seen.values().map(|seen| &seen.peer)
+    }
+
+    /// Takes an answer of a host; returns whether it became live or began to leave.
+    pub fn answered(&mut self, name: &entry::Name, is_leaving: bool, now: Instant) -> bool {
+        let Some(seen) = self.seen.get_mut(name) else { return false };
+        let was_live = is_live(seen, now);
+        let was_leaving = std::mem::replace(&mut seen.is_leaving, is_leaving);
+        seen.answered_at = Some(now);
+        !was_live || was_leaving != is_leaving
+    }
+
+    /// Takes note that a host refused a connection or broke one.
+    pub fn failed(&mut self, name: &entry::Name) -> bool {
+        match self.seen.get_mut(name) {
+            Some(seen) => seen.answered_at.take().is_some(),
+            None => false,
+        }
+    }
+
+    /// The hosts that live and are not about to stop, by name.
+    pub fn live(&self, now: Instant) -> Vec<Peer> {
+        let live = self.seen.values().filter(|seen| is_live(seen, now) && !seen.is_leaving);
+        let mut live: Vec<Peer> = live.map(|seen| seen.peer.clone()).collect();
+        live.sort_by(|a, b| a.name.cmp(&b.name));
+        live
+    }
+}
+
+fn is_live(seen: &Seen, now: Instant) -> bool {
+    seen.answered_at.is_some_and(|answered| now.since(answered) <= SILENCE)
+}
--- a/crates/oleanderspan/src/lib.rs
+++ b/crates/oleanderspan/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod prelude;
 pub mod region;
 pub mod request;
+pub mod route;
 pub mod service;
 pub mod shift;
 pub mod snapshot;
--- a/crates/oleanderspan/src/request.rs
+++ b/crates/oleanderspan/src/request.rs
@@ -1,5 +1,6 @@
 //! Requests: what they are, how they may end, and who may run them.
 
+pub mod admission;
 pub mod claim;
 pub mod job;
 pub mod outcome;
--- /dev/null
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -0,0 +1,101 @@
+//! Whether a request waits for a slot or is refused at once.
+//!
+//! The load pattern that this answers: more requests than slots for many seconds. Without it
+//! every request waits until it is late, so that all are served late or not at all; with it those
+//! who wait are served in time, and the others learn at once when to come back.
+
+use crate::{backend::pool::Rank, prelude::*};
+
+/// The share of its remaining time, in percent, for which a late request may wait.
+///
+/// A late answer is worth little, so that holding it longer costs the caller more than an early
+/// refusal, after which it may find another host with room.
+const LATE_WAIT_PERCENT: u32 = 25;
+
+/// The time for which slots are held before the first answer has told, as a guess.
+const UNKNOWN_LATENCY: Duration = Duration::from_millis(250);
+
+/// The shortest time after which a refused client is asked to come back.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// The share of its remaining time, in percent, that a client is asked to wait at most; clients
+/// of the platform honour up to a third.
+const RETRY_AFTER_PERCENT: u32 = 30;
+
+/// What a request still has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Time {
+    /// The time left until its latency objective.
+    pub objective: Duration,
+    /// The time left until nobody waits for its answer any more.
+    pub deadline: Duration,
+}
+
+/// How busy the servers of a pool are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that would be served before.
+    pub ahead: usize,
+    /// Slots of all servers that may be used.
+    pub slots: u32,
+    /// How long requests hold a slot on average; zero if that isn't known.
+    pub mean_latency: Duration,
+    /// How long half of the requests hold a slot at most; zero if that isn't known.
+    pub typical_latency: Duration,
+}
+
+impl Load {
+    /// How long a request will wait for a slot, once all are taken.
+    pub fn expected_wait(&self) -> Duration {
+        if self.slots == 0 {
+            return Duration::MAX;
+        }
+        let ahead = u32::try_from(self.ahead).unwrap_or(u32::MAX).saturating_add(1);
+        known(self.mean_latency).saturating_mul(ahead) / self.slots
+    }
+}
+
+/// What to do with a request that finds no free slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It waits in a rank for at most so long.
+    Wait {
+        /// The longest time in the queue.
+        limit: Duration,
+    },
+    /// It is refused at once.
+    Refuse {
+        /// When the client may come back.
+        retry_after: Duration,
+    },
+}
+
+/// Whether a request can still be answered within its objective if it is started now.
+pub fn is_late(time: Time, load: &Load) -> bool {
+    time.objective < known(load.typical_latency)
+}
+
+/// The rank of a request.
+pub fn rank(priority: u8, time: Time, load: &Load) -> Rank {
+    Rank::new(priority, is_late(time, load))
+}
+
+/// Decides whether a request waits.
+pub fn judge(time: Time, load: &Load) -> Verdict {
+    let work = known(load.typical_latency);
+    let is_late = is_late(time, load);
+    let limit = match is_late {
+        true => time.deadline.saturating_sub(work) * LATE_WAIT_PERCENT / 100,
+        false => time.objective.min(time.deadline).saturating_sub(work),
+    };
+    let wait = load.expected_wait();
+    if wait <= limit {
+        return Verdict::Wait { limit };
+    }
+    let longest = time.deadline * RETRY_AFTER_PERCENT / 100;
+    Verdict::Refuse { retry_after: wait.min(longest).max(LEAST_RETRY_AFTER) }
+}
+
+fn known(latency: Duration) -> Duration {
+    if latency.is_zero() { UNKNOWN_LATENCY } else { latency }
+}
--- a/crates/oleanderspan/src/request/retry.rs
+++ b/crates/oleanderspan/src/request/retry.rs
@@ -14,19 +14,27 @@
 #[derive(Debug)]
 pub struct Budget {
     share: Percent,
+    most: i64,
     credit: AtomicI64,
 }
 
 impl Budget {
     /// A budget of `share` extra attempts for each first attempt.
     pub fn new(share: Percent) -> Budget {
-        Budget { share, credit: AtomicI64::new(ATTEMPT) }
+        Budget { share, most: MAX_SAVED, credit: AtomicI64::new(ATTEMPT) }
     }
 
     /// A budget with as many extra attempts saved up as it may hold, for faults that come at once.
     pub fn saved(share: Percent) -> Budget {
         let credit = if share.get() == 0 { 0 } else { MAX_SAVED };
-        Budget { share, credit: AtomicI64::new(credit) }
+        Budget { share, most: MAX_SAVED, credit: AtomicI64::new(credit) }
+    }
+
+    /// A budget that starts with `reserve` extra attempts saved up and never holds more, as
+    /// the host's part of a budget that all hosts share.
+    pub fn with_reserve(share: Percent, reserve: u32) -> Budget {
+        let most = i64::from(reserve) * ATTEMPT;
+        Budget { share, most, credit: AtomicI64::new(most) }
     }
 
     /// Extra attempts as a share of first ones.
@@ -37,7 +45,7 @@
     /// Counts a first attempt.
     pub fn earn(&self) {
         let share = i64::from(self.share.get());
-        let earn = |credit: i64| Some((credit + share).min(MAX_SAVED));
+        let earn = |credit: i64| Some((credit + share).min(self.most));
         let _ = self.credit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, earn);
     }
 
--- /dev/null
+++ b/crates/oleanderspan/src/route/table.rs
@@ -0,0 +1,180 @@
+//! A checked document of routes, and the choice of a route.
+
+use std::{cmp::Reverse, fmt};
+
+use crate::{
+    backend,
+    prelude::*,
+    region,
+    request::Repeat,
+    route::{Limits, Patience, Route, Service, Split, raw},
+    service,
+};
+
+/// Routes that are in force together.
+#[derive(Debug)]
+pub struct Table {
+    /// The version of the document.
+    pub version: u64,
+    /// What clients may send.
+    pub limits: Limits,
+    services: Map<service::Name, Service>,
+    /// By host, the longest prefix first.
+    hosts: Map<Box<str>, Vec<Arc<Route>>>,
+}
+
+impl Table {
+    /// The route of a request: of its host's routes the one with the longest prefix.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.hosts.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// What the document says of a service.
+    pub fn service(&self, name: &service::Name) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// The number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Whether there are no routes.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether this document may replace the one of version `old`; versions never go back.
+    pub fn supersedes(&self, old: Option<u64>) -> bool {
+        old.is_none_or(|old| self.version > old)
+    }
+
+    /// Keeps what requests have told of routes that the document before had as well.
+    pub fn inherit(&self, before: &Table) {
+        for (host, routes) in &self.hosts {
+            for route in routes {
+                let known = before.hosts.get(host).into_iter().flatten();
+                for known in known.filter(|known| known.name == route.name) {
+                    route.patience.inherit(&known.patience);
+                }
+            }
+        }
+    }
+}
+
+impl Patience {
+    fn inherit(&self, before: &Patience) {
+        let longest = before.longest_millis.load(std::sync::atomic::Ordering::Relaxed);
+        self.longest_millis.fetch_max(longest, std::sync::atomic::Ordering::Relaxed);
+    }
+}
+
+impl TryFrom<raw::Table> for Table {
+    type Error = Error;
+
+    fn try_from(raw: raw::Table) -> Result<Table, Error> {
+        let mut services = Map::default();
+        for (i, service) in raw.services.into_iter().enumerate() {
+            let at = |field: &str| format!("services[{i}].{field}");
+            let name = service::Name::try_from(service.name.as_str())
+                .map_err(|error| Error::new(at("name"), error))?;
+            let described = Service {
+                health_path: service.health_path.into(),
+                max_connections: service.max_connections,
+                cold_start: Duration::from_millis(service.cold_start_ms),
+                cold_rate: backend::cold::Rate::per_1000_s(service.cold_per_1000_s),
+            };
+            if services.insert(name, described).is_some() {
+                return Err(Error::new(at("name"), "the name is used twice"));
+            }
+        }
+        let mut hosts: Map<Box<str>, Vec<Arc<Route>>> = Map::default();
+        for (i, host) in raw.hosts.into_iter().enumerate() {
+            let mut routes = Vec::with_capacity(host.routes.len());
+            for (j, route) in host.routes.into_iter().enumerate() {
+                let at = format!("hosts[{i}].routes[{j}]");
+                routes.push(Arc::new(check(route, &services, &at)?));
+            }
+            let known = hosts.entry(host.name.to_ascii_lowercase().into()).or_default();
+            known.extend(routes);
+            known.sort_by_key(|route| Reverse(route.prefix.len()));
+        }
+        let limits = Limits {
+            max_head_bytes: usize::try_from(raw.limits.max_head_bytes).unwrap_or(usize::MAX),
+            max_body_bytes: raw.limits.max_body_bytes,
+            head_timeout: Duration::from_millis(raw.limits.head_timeout_ms),
+            idle_timeout: Duration::from_millis(raw.limits.idle_timeout_ms),
+        };
+        Ok(Table { version: raw.version, limits, services, hosts })
+    }
+}
+
+fn check(
+    raw: raw::Route,
+    services: &Map<service::Name, Service>,
+    at: &str,
+) -> Result<Route, Error> {
+    let at = |field: &str| format!("{at}.{field}");
+    if !raw.prefix.starts_with('/') || !raw.prefix.ends_with('/') {
+        let reason = format!("wanted a path that begins and ends with '/', found {:?}", raw.prefix);
+        return Err(Error::new(at("prefix"), reason));
+    }
+    if raw.timeout_ms == 0 {
+        return Err(Error::new(at("timeout_ms"), "wanted at least 1 ms"));
+    }
+    let max_attempts = u32::try_from(raw.max_attempts).unwrap_or(u32::MAX);
+    if max_attempts == 0 {
+        return Err(Error::new(at("max_attempts"), "wanted at least 1"));
+    }
+    let mut shares = Vec::with_capacity(raw.shares.len());
+    for (name, weight) in raw.shares {
+        let service = service::Name::try_from(name.as_str())
+            .map_err(|error| Error::new(at("shares"), error))?;
+        if !services.contains_key(&service) {
+            return Err(Error::new(at("shares"), format!("no service is named {name}")));
+        }
+        shares.push((service, u32::try_from(weight).unwrap_or(u32::MAX)));
+    }
+    let split = Split::new(shares)
+        .ok_or_else(|| Error::new(at("shares"), "wanted a service with a weight over 0"))?;
+    let homes = raw.homes.iter().map(|home| region::Name::try_from(home.as_str()));
+    let homes: Result<Box<[region::Name]>, _> = homes.collect();
+    Ok(Route {
+        name: raw.name.into(),
+        prefix: raw.prefix.into(),
+        repeat: if raw.is_idempotent { Repeat::Harmless } else { Repeat::Forbidden },
+        timeout: Duration::from_millis(raw.timeout_ms),
+        objective: Duration::from_millis(raw.objective_ms),
+        priority: u8::try_from(raw.priority).unwrap_or(u8::MAX),
+        max_attempts,
+        is_sticky: raw.is_sticky,
+        homes: homes.map_err(|error| Error::new(at("homes"), error))?,
+        split,
+        patience: Patience::default(),
+    })
+}
+
+value! {
+    /// Why a document of routes was refused.
+    pub struct Error {
+        /// The place in the document.
+        pub path: String,
+        /// What was wanted and found.
+        pub reason: String,
+    }
+}
+
+impl Error {
+    /// A fault at a place of the document.
+    pub fn new(path: impl Into<String>, reason: impl fmt::Display) -> Error {
+        Error { path: path.into(), reason: reason.to_string() }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.reason)
+    }
+}
+
+impl std::error::Error for Error {}
