Add the gateway: routes and servers from a platform's store

Cause: the entry daemon needs documents of the product's own; a platform has others. Change: node::gateway, one process a host. One host of a region gives out the slots of a service; the others ask it and send the request to the server themselves, so that bodies cross no extra hop. The store is behind the trait Source. HTTP servers and clients take options; bodies can be read ahead or held open.

--- a/crates/node/src/entry/counters.rs
+++ b/crates/node/src/entry/counters.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// The counts at the start.
+    pub fn zero(&self) -> Reading {
+        Reading { done: 0, refused: [0; Refusal::ALL.len()], latency: [0; BUCKETS] }
+    }
+
     /// The counts now.
     pub fn read(&self) -> Reading {
         Reading {
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -1,7 +1,9 @@
 //! Refusals as callers and other hosts read them: a header and `application/problem+json`.
 
+use std::fmt;
+
 use http::{Response, StatusCode, header};
-use oleanderspan::request::Refusal;
+use oleanderspan::{prelude::*, request::Refusal};
 use serde::Serialize;
 
 use crate::{
@@ -20,16 +22,53 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     detail: Option<&'a str>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    retry_after_s: Option<u64>,
+    retry_after_s: Option<Wait>,
+}
+
+/// Seconds, with a fraction only where there is one.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(untagged)]
+enum Wait {
+    Whole(u64),
+    Part(f64),
+}
+
+impl From<Duration> for Wait {
+    fn from(wait: Duration) -> Wait {
+        match wait.subsec_millis() {
+            0 => Wait::Whole(wait.as_secs()),
+            _ => Wait::Part(wait.as_millis() as f64 / 1_000.0),
+        }
+    }
+}
+
+impl fmt::Display for Wait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Wait::Whole(seconds) => seconds.fmt(f),
+            Wait::Part(seconds) => seconds.fmt(f),
+        }
+    }
 }
 
 /// The answer that tells why a request was refused and whether it was run.
 pub fn response<G>(refusal: Refusal, request_id: &str, detail: Option<&str>) -> Response<Body<G>> {
-    let retry_after_s = refusal.retry_after().map(|wait| wait.as_secs());
+    response_after(refusal, refusal.status(), refusal.retry_after(), request_id, detail)
+}
+
+/// The answer that tells why a request was refused, with a status and a wait that fit the case.
+pub fn response_after<G>(
+    refusal: Refusal,
+    status: u16,
+    retry_after: Option<Duration>,
+    request_id: &str,
+    detail: Option<&str>,
+) -> Response<Body<G>> {
+    let retry_after_s = retry_after.map(Wait::from);
     let problem = Problem {
         r#type: format!("urn:oleanderspan:refusal:{}", refusal.as_str()),
         title: refusal.to_string(),
-        status: refusal.status(),
+        status,
         outcome: refusal.outcome().as_str(),
         request_id,
         detail,
@@ -38,7 +77,7 @@
     let body = codec::to_json(&problem).unwrap_or_default();
     let mut response = Response::new(Body::from(bytes::Bytes::from(body)));
     *response.status_mut() =
-        StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, names::value("application/problem+json"));
     headers.insert(header::CACHE_CONTROL, names::value("no-store"));
--- a/crates/node/src/entry/slot.rs
+++ b/crates/node/src/entry/slot.rs
@@ -1,7 +1,10 @@
 //! Slots of backend servers as the daemon holds them: waited for asleep, given back on drop.
 
 use oleanderspan::{
-    backend::{Pool, Server, Waiter},
+    backend::{
+        Pool, Server, Waiter,
+        pool::{Rank, Wish},
+    },
     prelude::*,
     request::Refusal,
 };
@@ -75,6 +78,26 @@
     }
 }
 
+/// Takes a free slot that suits a wish, without waiting.
+pub fn try_acquire(pool: &Arc<Pool<Ticket>>, clock: Monotonic, wish: &Wish) -> Option<Lease> {
+    let server = pool.try_acquire_for(wish, clock.now())?;
+    Some(Lease::new(Arc::clone(pool), clock, server))
+}
+
+/// Waits for a slot in a rank of the queue, for at most `limit`.
+pub async fn wait(
+    pool: &Arc<Pool<Ticket>>,
+    clock: Monotonic,
+    rank: Rank,
+    wish: Wish,
+    limit: Duration,
+) -> Option<Lease> {
+    let (signal, granted) = oneshot::channel();
+    let ticket = Ticket { pool: Arc::clone(pool), clock, signal };
+    pool.enqueue_ranked(ticket, rank, wish, limit, clock.now());
+    tokio::time::timeout(limit, granted).await.ok()?.ok()
+}
+
 /// Takes a slot of another server than `not` if one is free now.
 pub fn try_acquire_other(
     pool: &Arc<Pool<Ticket>>,
--- /dev/null
+++ b/crates/node/src/gateway/arbiter.rs
@@ -0,0 +1,140 @@
+//! What a gateway answers other hosts: slots of the services that it gives out, and that it lives.
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use oleanderspan::{
+    backend::{self, pool::Wish, server::Object},
+    entry,
+    prelude::*,
+    request::{Refusal, admission::Time},
+    service,
+};
+use slog::warn;
+
+use crate::{
+    codec,
+    entry::slot::Lease,
+    gateway::{
+        State,
+        grant::{self, Refused},
+        message::{ASK_PATH, Ask, PING_PATH, Ping, Report},
+    },
+    http::{Body, header as names, server::Handler},
+};
+
+/// The largest message of another host, in bytes; the largest one sent is a tenth of it.
+const MAX_MESSAGE_BYTES: usize = 16 << 10;
+
+/// Answers other hosts.
+#[derive(Clone, Debug)]
+pub struct Arbiter(pub State);
+
+type Answer = Response<Body<Lease>>;
+
+impl Handler for Arbiter {
+    type Guard = Lease;
+
+    async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Answer {
+        let (head, body) = request.into_parts();
+        let body = match Limited::new(body, MAX_MESSAGE_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                warn!(self.0.log, "message of a host broke"; "peer" => %peer, "reason" => %error);
+                return status(StatusCode::BAD_REQUEST);
+            }
+        };
+        let answered = match head.uri.path() {
+            ASK_PATH => codec::from_wire(&body).map(Some),
+            PING_PATH => return self.ping(&body),
+            _ => Ok(None),
+        };
+        match answered {
+            Ok(Some(ask)) => self.ask(ask).await,
+            Ok(None) => status(StatusCode::NOT_FOUND),
+            Err(error) => {
+                warn!(self.0.log, "unreadable message"; "peer" => %peer, "reason" => %error);
+                status(StatusCode::BAD_REQUEST)
+            }
+        }
+    }
+}
+
+impl Arbiter {
+    async fn ask(&self, ask: Ask) -> Answer {
+        ask.reports.iter().for_each(|report| self.note(report));
+        match self.grant(&ask).await {
+            Ok(lease) => {
+                let name = lease.server().map(|server| server.identity.name.to_string());
+                let mut answer = Response::new(Body::Held(lease));
+                let name = names::value(name.as_deref().unwrap_or_default());
+                answer.headers_mut().insert(names::SERVER, name);
+                answer
+            }
+            Err(refused) => {
+                let mut answer = status(StatusCode::SERVICE_UNAVAILABLE);
+                grant::refused_headers(answer.headers_mut(), refused);
+                answer
+            }
+        }
+    }
+
+    async fn grant(&self, ask: &Ask) -> Result<Lease, Refused> {
+        let state = &self.0;
+        let no_server = Refused { refusal: Refusal::NoServer, retry_after: None };
+        let service = service::Name::try_from(ask.service.as_str()).map_err(|_| no_server)?;
+        let pool = state.snapshot().pool(&service, state.settings.region).map(Arc::clone);
+        let pool = pool.ok_or(no_server)?;
+        let time = Time {
+            objective: Duration::from_millis(ask.objective_ms),
+            deadline: Duration::from_millis(ask.deadline_ms),
+        };
+        let not = ask.not.as_deref().and_then(|name| backend::Name::try_from(name).ok());
+        let wish = Wish { object: ask.object.map(Object::from_hash), not };
+        grant::acquire_here(&pool, state.clock, ask.priority, time, wish).await
+    }
+
+    fn note(&self, report: &Report) {
+        let snapshot = self.0.snapshot();
+        let service = service::Name::try_from(report.service.as_str()).ok();
+        let server = backend::Name::try_from(report.server.as_str()).ok();
+        let pool = service.and_then(|service| snapshot.pool(&service, self.0.settings.region));
+        let server = server.and_then(|server| snapshot.server(&server));
+        if let (Some(pool), Some(server)) = (pool, server) {
+            grant::note(pool, server, report.latency_us.map(Duration::from_micros));
+        }
+    }
+
+    fn ping(&self, body: &[u8]) -> Answer {
+        let state = &self.0;
+        let ping: Ping = match codec::from_wire(body) {
+            Ok(ping) => ping,
+            Err(error) => {
+                warn!(state.log, "unreadable question of a host"; "reason" => %error);
+                return status(StatusCode::BAD_REQUEST);
+            }
+        };
+        // Who asks lives.
+        if let Ok(name) = entry::Name::try_from(ping.host.as_str()) {
+            state.update(|beliefs, now| beliefs.roster.answered(&name, ping.is_leaving, now));
+        }
+        let own = Ping {
+            host: state.settings.host.to_string(),
+            is_leaving: state.stop.has_begun() || !state.snapshot().is_ready(),
+        };
+        match codec::to_wire(&own) {
+            Ok(body) => Response::new(Body::from(Bytes::from(body))),
+            Err(error) => {
+                warn!(state.log, "cannot answer a host"; "reason" => %error);
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Body::empty());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/node/src/gateway/grant.rs
@@ -0,0 +1,291 @@
+//! Slots of backend servers: one host of the region gives out those of a service, so that its
+//! counts are exact. The others ask it, and send the request to the server themselves.
+
+use http::{Request, StatusCode, header};
+use hyper::body::Incoming;
+use oleanderspan::{
+    backend::{self, Pool, Server, pool::Wish, server::Object},
+    entry::roster::Peer,
+    prelude::*,
+    region,
+    request::{
+        Refusal,
+        admission::{self, Load, Time, Verdict},
+    },
+    service,
+};
+use slog::{info, warn};
+
+use crate::{
+    clock::Monotonic,
+    codec,
+    entry::slot::{self, Lease, Ticket},
+    gateway::{
+        message::{ASK_PATH, Ask, Report},
+        state::{Shared, is_usable},
+    },
+    http::{Body, header as names},
+};
+
+/// The time that an answer of the giving host may take beyond the wait in its queue.
+const ASK_MARGIN: Duration = Duration::from_millis(150);
+
+/// The most hosts that are asked for one request, as they fail one after the other.
+const MAX_ASKS: u32 = 4;
+
+/// The most reports that one question carries.
+const MAX_REPORTS: usize = 16;
+
+/// The most reports that wait for a question to carry them; older ones are dropped, as they say
+/// little by then.
+const MAX_KEPT_REPORTS: usize = 64;
+
+/// When clients may come back if there is no server at all: about the time in which a platform
+/// lists a new one.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(1_000);
+
+/// A slot that is taken until the grant is dropped.
+#[derive(Debug)]
+pub enum Grant {
+    /// Given out here.
+    Own(Lease),
+    /// Given out by another host, for as long as its answer is open.
+    Foreign {
+        /// The server.
+        server: Arc<Server>,
+        /// The open answer.
+        hold: Incoming,
+    },
+}
+
+impl Grant {
+    /// The server whose slot is taken.
+    pub fn server(&self) -> Option<&Arc<Server>> {
+        match self {
+            Grant::Own(lease) => lease.server(),
+            Grant::Foreign { server, .. } => Some(server),
+        }
+    }
+}
+
+/// What a request wants.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    /// The identity of the request.
+    pub id: &'a str,
+    /// The service.
+    pub service: &'a service::Name,
+    /// The region whose servers are asked for.
+    pub region: region::Index,
+    /// The rank under overload.
+    pub priority: u8,
+    /// The time that it has.
+    pub time: Time,
+    /// What it wants of its server.
+    pub wish: Wish,
+}
+
+/// Why there is no slot, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// The reason.
+    pub refusal: Refusal,
+    /// When a client may come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// Takes a slot for a request.
+pub async fn acquire(state: &Shared, want: &Want<'_>) -> Result<Grant, Refused> {
+    let began = state.clock.now();
+    let mut wish = want.wish.clone();
+    for _ in 0..MAX_ASKS {
+        let snapshot = state.snapshot();
+        let spent = state.clock.now().since(began);
+        let time = Time {
+            objective: want.time.objective.saturating_sub(spent),
+            deadline: want.time.deadline.saturating_sub(spent),
+        };
+        let is_home = want.region == state.settings.region;
+        let peer = snapshot.arbiter(&state.settings, want.service).filter(|_| is_home);
+        let Some(peer) = peer else {
+            let pool = snapshot.pool(want.service, want.region).map(Arc::clone);
+            drop(snapshot);
+            let Some(pool) = pool else { return Err(no_server()) };
+            let lease = acquire_here(&pool, state.clock, want.priority, time, wish).await?;
+            return Ok(Grant::Own(lease));
+        };
+        let peer = peer.clone();
+        drop(snapshot);
+        match ask(state, want, &wish, time, &peer).await {
+            Ok(grant) => return Ok(grant),
+            Err(Failure::Refused(refused)) => return Err(refused),
+            // The hosts learn of servers at slightly different times; the slot goes back.
+            Err(Failure::Unusable(server)) => {
+                info!(state.log, "slot of a server that is not used here"; "request" => want.id,
+                    "server" => %server, "host" => %peer.name);
+                wish.not = Some(server);
+            }
+            Err(Failure::NoAnswer(reason)) => {
+                warn!(state.log, "no answer for a slot"; "request" => want.id,
+                    "host" => %peer.name, "reason" => reason);
+                state.update(|beliefs, _| beliefs.roster.failed(&peer.name));
+            }
+        }
+    }
+    Err(Refused { refusal: Refusal::NotReady, retry_after: Refusal::NotReady.retry_after() })
+}
+
+/// Takes a slot of a pool that this host gives out.
+pub async fn acquire_here(
+    pool: &Arc<Pool<Ticket>>,
+    clock: Monotonic,
+    priority: u8,
+    time: Time,
+    wish: Wish,
+) -> Result<Lease, Refused> {
+    let object = wish.object;
+    let lease = match slot::try_acquire(pool, clock, &wish) {
+        Some(lease) => lease,
+        None => queue(pool, clock, priority, time, wish).await?,
+    };
+    if let (Some(server), Some(object)) = (lease.server(), object) {
+        server.note_object(object);
+    }
+    Ok(lease)
+}
+
+async fn queue(
+    pool: &Arc<Pool<Ticket>>,
+    clock: Monotonic,
+    priority: u8,
+    time: Time,
+    wish: Wish,
+) -> Result<Lease, Refused> {
+    let servers = pool.servers();
+    let usable = servers.iter().filter(|server| is_usable(server));
+    let mut load = Load {
+        ahead: 0,
+        slots: usable.map(|server| server.slots()).sum(),
+        mean_latency: pool.mean_latency(),
+        typical_latency: pool.typical_latency(),
+    };
+    drop(servers);
+    if load.slots == 0 {
+        return Err(no_server());
+    }
+    let rank = admission::rank(priority, time, &load);
+    load.ahead = pool.queued_before(rank);
+    match admission::judge(time, &load) {
+        Verdict::Refuse { retry_after } => {
+            Err(Refused { refusal: Refusal::Overloaded, retry_after: Some(retry_after) })
+        }
+        Verdict::Wait { limit } => {
+            let granted = slot::wait(pool, clock, rank, wish, limit).await;
+            granted.ok_or_else(|| Refused {
+                refusal: Refusal::Overloaded,
+                retry_after: Some(load.expected_wait().min(time.deadline)),
+            })
+        }
+    }
+}
+
+fn no_server() -> Refused {
+    Refused { refusal: Refusal::NoServer, retry_after: Some(NO_SERVER_RETRY) }
+}
+
+/// Why a question for a slot brought none.
+#[derive(Debug)]
+enum Failure {
+    Refused(Refused),
+    Unusable(backend::Name),
+    NoAnswer(String),
+}
+
+/// Asks the host that gives out slots.
+async fn ask(
+    state: &Shared,
+    want: &Want<'_>,
+    wish: &Wish,
+    time: Time,
+    peer: &Peer,
+) -> Result<Grant, Failure> {
+    let reports = std::iter::from_fn(|| state.reports.pop()).take(MAX_REPORTS).collect();
+    let message = Ask {
+        request: want.id.to_owned(),
+        service: want.service.to_string(),
+        priority: want.priority,
+        objective_ms: millis(time.objective),
+        deadline_ms: millis(time.deadline),
+        object: wish.object.map(Object::hash),
+        not: wish.not.as_ref().map(|name| name.to_string()),
+        reports,
+    };
+    let body = codec::to_wire(&message).map_err(no_answer)?;
+    let request = Request::post(format!("http://{}{ASK_PATH}", peer.address))
+        .body(Body::from(bytes::Bytes::from(body)))
+        .map_err(no_answer)?;
+    let limit = time.deadline + ASK_MARGIN;
+    let sent = tokio::time::timeout(limit, state.peers.send(request)).await;
+    let answer = sent.map_err(|_| no_answer("no answer in time"))?;
+    let answer = answer.map_err(no_answer)?;
+    if answer.status() != StatusCode::OK {
+        let refusal = names::text(answer.headers(), &names::REFUSAL);
+        let refusal = refusal.and_then(|code| Refusal::try_from(code).ok());
+        let refusal = refusal.ok_or_else(|| no_answer(answer.status()))?;
+        let wait = names::number(answer.headers(), &names::RETRY_AFTER_MS);
+        let retry_after = wait.map(Duration::from_millis);
+        return Err(Failure::Refused(Refused { refusal, retry_after }));
+    }
+    let name = names::text(answer.headers(), &names::SERVER).unwrap_or("");
+    let name = backend::Name::try_from(name).map_err(no_answer)?;
+    let known = state.snapshot().server(&name).cloned();
+    match known.filter(|server| is_usable(server)) {
+        Some(server) => Ok(Grant::Foreign { server, hold: answer.into_body() }),
+        None => Err(Failure::Unusable(name)),
+    }
+}
+
+/// Takes note of what a request has shown of its server, here and for the host that gives out
+/// its slots.
+pub fn report(state: &Shared, want: &Want<'_>, grant: &Grant, latency: Option<Duration>) {
+    let Some(server) = grant.server() else { return };
+    if let Some(pool) = state.snapshot().pool(want.service, want.region) {
+        note(pool, server, latency);
+    }
+    if matches!(grant, Grant::Foreign { .. }) {
+        if state.reports.len() >= MAX_KEPT_REPORTS {
+            state.reports.pop();
+        }
+        state.reports.push(Report {
+            service: want.service.to_string(),
+            server: server.identity.name.to_string(),
+            latency_us: latency
+                .map(|latency| u64::try_from(latency.as_micros()).unwrap_or(u64::MAX)),
+        });
+    }
+}
+
+/// Takes note of an answer of a server, or of its failure.
+pub fn note(pool: &Pool<Ticket>, server: &Server, latency: Option<Duration>) {
+    match latency {
+        Some(latency) => pool.observe(server, latency),
+        None => server.observe_failure(),
+    }
+}
+
+fn no_answer(reason: impl std::fmt::Display) -> Failure {
+    Failure::NoAnswer(reason.to_string())
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Names used by the answer to a question for a slot.
+pub fn refused_headers(headers: &mut http::HeaderMap, refused: Refused) {
+    headers.insert(names::REFUSAL, names::value(refused.refusal.as_str()));
+    if let Some(wait) = refused.retry_after {
+        headers.insert(names::RETRY_AFTER_MS, names::value(&millis(wait).to_string()));
+    }
+    headers.insert(header::CONTENT_LENGTH, names::value("0"));
+}
--- /dev/null
+++ b/crates/node/src/gateway/message.rs
@@ -0,0 +1,64 @@
+//! What gateways send each other, as MessagePack.
+
+use serde::{Deserialize, Serialize};
+
+/// Where a host asks another for a slot of a backend server.
+pub const ASK_PATH: &str = "/ask";
+
+/// Where a host asks whether another one lives.
+pub const PING_PATH: &str = "/ping";
+
+/// A question for a slot. The answer's body stays open as long as the slot is held.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ask {
+    /// The identity of the request, for logs.
+    pub request: String,
+    /// The service.
+    pub service: String,
+    /// Its rank under overload.
+    pub priority: u8,
+    /// The time left until its latency objective, in milliseconds.
+    pub objective_ms: u64,
+    /// The time left until its deadline, in milliseconds.
+    pub deadline_ms: u64,
+    /// The object that it is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub object: Option<u64>,
+    /// A server that has failed it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub not: Option<String>,
+    /// What earlier requests have shown of servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub reports: Vec<Report>,
+}
+
+/// What a request has shown of its server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The service.
+    pub service: String,
+    /// The server.
+    pub server: String,
+    /// How long it took to answer, in microseconds; none if it failed.
+    pub latency_us: Option<u64>,
+}
+
+/// Says who asks; the answer says who is there.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ping {
+    /// The host.
+    pub host: String,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
+
+/// What the others know of a host through the store, as JSON.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Host {
+    /// Where callers reach it.
+    pub callers: std::net::SocketAddr,
+    /// Where other hosts reach it.
+    pub peers: std::net::SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
--- /dev/null
+++ b/crates/node/src/gateway/page.rs
@@ -0,0 +1,57 @@
+//! The metrics page: counters and latencies as text, one line each.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    io,
+    sync::{Mutex, PoisonError},
+};
+
+use cadence::{Gauged, MetricSink, StatsdClient};
+
+use crate::gateway::State;
+
+/// Collects the lines of one reading.
+#[derive(Debug, Default)]
+struct Lines(std::sync::Arc<Mutex<BTreeMap<String, String>>>);
+
+impl MetricSink for Lines {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let (name, rest) = metric.split_once(':').unwrap_or((metric, ""));
+        let (value, tags) = match rest.split_once("|#") {
+            Some((value, tags)) => (value, format!("{{{}}}", tags.replace(':', "="))),
+            None => (rest, String::new()),
+        };
+        let value = value.split('|').next().unwrap_or("");
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.insert(format!("{name}{tags}"), value.to_owned());
+        Ok(metric.len())
+    }
+}
+
+/// The metrics now; `docs/operators/metrics.md` lists them.
+pub fn render(state: &State) -> String {
+    let lines = Lines::default();
+    let collected = std::sync::Arc::clone(&lines.0);
+    let client = StatsdClient::from_sink("oleanderspan", lines);
+    let reading = state.counters.read();
+    reading.send_since(&state.counters.zero(), &client);
+    let snapshot = state.snapshot();
+    let gauges = [
+        ("gateway.hosts", snapshot.peers.len() + 1),
+        ("gateway.servers", state.beliefs().listing.len()),
+        ("gateway.queued", snapshot.pools().map(|pool| pool.queued()).sum()),
+    ];
+    for (name, value) in gauges {
+        // The sink only fills a map.
+        let _ = client.gauge(name, value as u64);
+    }
+    let version = snapshot.table.as_ref().map_or(0, |table| table.version);
+    let _ = client.gauge("gateway.routes_version", version);
+    drop(client);
+    let lines = collected.lock().unwrap_or_else(PoisonError::into_inner);
+    lines.iter().fold(String::new(), |mut page, (name, value)| {
+        let _ = writeln!(page, "{name} {value}");
+        page
+    })
+}
--- /dev/null
+++ b/crates/node/src/gateway/source.rs
@@ -0,0 +1,132 @@
+//! What a gateway learns from a platform's store, in its own words; an adapter implements it.
+
+use std::fmt;
+
+use oleanderspan::{
+    backend, entry,
+    prelude::*,
+    route::{self, raw},
+};
+
+/// What is followed apart from each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// Routes and evacuations, which the operator writes.
+    Operator,
+    /// Backend servers, which list themselves.
+    Servers,
+    /// Entry hosts, which list themselves.
+    Hosts,
+}
+
+impl Topic {
+    /// The name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Topic::Operator => "operator",
+            Topic::Servers => "servers",
+            Topic::Hosts => "hosts",
+        }
+    }
+}
+
+/// What a row of the store says now.
+#[derive(Clone, Debug)]
+pub enum Row {
+    /// The newest document of routes.
+    Routes(Result<raw::Table, route::Error>),
+    /// Whether a zone shall get no requests.
+    Evacuation {
+        /// The zone's name.
+        zone: String,
+        /// Whether it is in force.
+        is_active: bool,
+    },
+    /// A backend server, or `None` if it is no longer listed.
+    Server(backend::Name, Option<Server>),
+    /// An entry host, or `None` if it is no longer listed.
+    Host(entry::Name, Option<Vec<u8>>),
+    /// A row that names nothing to use.
+    Faulty {
+        /// The key of the row.
+        key: String,
+        /// The name, if the row stood for something that was listed before.
+        server: Option<backend::Name>,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// A backend server's entry; zone and service are names that must be known here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    /// The service that it runs.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The zone that it is in.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// How much longer it is slow after its start.
+    pub cold_left: Duration,
+    /// When it started, in milliseconds of the wall clock.
+    pub born_millis: u64,
+    /// Counts what it has said since its start.
+    pub sequence: u64,
+}
+
+/// Rows, and the version of the store that they show.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// The version.
+    pub version: u64,
+}
+
+/// A platform's store.
+pub trait Source: Clone + Send + Sync + 'static {
+    /// Reads all rows of a topic.
+    fn list(&self, topic: Topic) -> impl Future<Output = Result<Batch, Error>> + Send;
+
+    /// Waits up to `wait` for rows that changed after a version.
+    fn follow(
+        &self,
+        topic: Topic,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Batch, Error>> + Send;
+
+    /// Lists this host, with what the others shall know of it.
+    fn announce(
+        &self,
+        host: &entry::Name,
+        value: &[u8],
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Removes this host from the list.
+    fn withdraw(&self, host: &entry::Name) -> impl Future<Output = Result<(), Error>> + Send;
+}
+
+/// Why the store gave no answer that helps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The changes since that version are no longer kept.
+    HistoryLost,
+    /// No answer, or one that can't be used.
+    Away(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::HistoryLost => f.write_str("the changes since that version are no longer kept"),
+            Error::Away(reason) => f.write_str(reason),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/node/src/http/body.rs
+++ b/crates/node/src/http/body.rs
@@ -5,9 +5,9 @@
     task::{Context, Poll},
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Frame, Incoming, SizeHint};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 
 use crate::http::Meter;
 
@@ -20,6 +20,8 @@
     Full(Full<Bytes>),
     /// A body that is passed on as it arrives.
     Stream {
+        /// What was read of it already.
+        first: Option<Bytes>,
         /// Where it comes from.
         incoming: Incoming,
         /// What is held as long.
@@ -27,6 +29,34 @@
         /// What its bytes are counted against.
         meter: Option<Meter>,
     },
+    /// A body that never ends by itself: the reader drops it to give back what is held.
+    Held(G),
+}
+
+/// A body that was read up to a limit.
+#[derive(Debug)]
+pub enum Collected {
+    /// All of it.
+    Whole(Bytes),
+    /// Its beginning, and the rest as it arrives.
+    Part(Bytes, Incoming),
+}
+
+/// Reads a body until it ends or `limit` bytes are exceeded.
+pub async fn collect_up_to(mut body: Incoming, limit: usize) -> Result<Collected, hyper::Error> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            if read.is_empty() && body.is_end_stream() {
+                return Ok(Collected::Whole(data));
+            }
+            read.extend_from_slice(&data);
+        }
+        if read.len() > limit {
+            return Ok(Collected::Part(read.freeze(), body));
+        }
+    }
+    Ok(Collected::Whole(read.freeze()))
 }
 
 impl<G> Body<G> {
@@ -37,17 +67,22 @@
 
     /// A body that is passed on as it arrives.
     pub fn stream(incoming: Incoming) -> Body<G> {
-        Body::Stream { incoming, guard: None, meter: None }
+        Body::Stream { first: None, incoming, guard: None, meter: None }
     }
 
     /// A body that is passed on while `guard` is held.
     pub fn guarded(incoming: Incoming, guard: G) -> Body<G> {
-        Body::Stream { incoming, guard: Some(guard), meter: None }
+        Body::Stream { first: None, incoming, guard: Some(guard), meter: None }
+    }
+
+    /// A body whose beginning was read already, passed on while `guard` is held.
+    pub fn resumed(first: Bytes, incoming: Incoming, guard: G) -> Body<G> {
+        Body::Stream { first: Some(first), incoming, guard: Some(guard), meter: None }
     }
 
     /// A body whose bytes are counted as they are passed on.
     pub fn metered(incoming: Incoming, meter: Meter) -> Body<G> {
-        Body::Stream { incoming, guard: None, meter: Some(meter) }
+        Body::Stream { first: None, incoming, guard: None, meter: Some(meter) }
     }
 }
 
@@ -67,7 +102,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             Body::Full(full) => Pin::new(full).poll_frame(context).map_err(|never| match never {}),
-            Body::Stream { incoming, guard, meter } => {
+            Body::Stream { first, incoming, guard, meter } => {
+                if let Some(first) = first.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(first))));
+                }
                 let polled = Pin::new(incoming).poll_frame(context);
                 if let (Some(meter), Poll::Ready(Some(Ok(frame)))) = (meter, &polled) {
                     meter.count(frame.data_ref().map_or(0, Bytes::len));
@@ -77,20 +115,23 @@
                 }
                 polled
             }
+            Body::Held(_) => Poll::Pending,
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Body::Full(full) => full.is_end_stream(),
-            Body::Stream { incoming, .. } => incoming.is_end_stream(),
+            Body::Stream { first, incoming, .. } => first.is_none() && incoming.is_end_stream(),
+            Body::Held(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Full(full) => full.size_hint(),
-            Body::Stream { incoming, .. } => incoming.size_hint(),
+            Body::Stream { first: None, incoming, .. } => incoming.size_hint(),
+            Body::Stream { .. } | Body::Held(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -38,25 +38,64 @@
     Http2,
 }
 
+/// How a client treats its connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Longest time to set up a connection.
+    pub connect_timeout: Duration,
+    /// How long an unused connection is kept; none is kept for zero.
+    pub idle_timeout: Duration,
+    /// How long sent bytes may stay unacknowledged, and how often the other side is probed, so
+    /// that a connection that fell silent is noticed.
+    pub silence: Option<Duration>,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { connect_timeout: CONNECT_TIMEOUT, idle_timeout: IDLE_TIMEOUT, silence: None }
+    }
+}
+
+/// Probes of a silent connection before it is given up.
+const SILENCE_PROBES: u32 = 2;
+
 impl Client {
     /// A client with no connections yet.
     pub fn new(protocol: Protocol) -> Client {
-        Client::with(protocol, HttpConnector::new())
+        Client::with(protocol, HttpConnector::new(), Options::default())
+    }
+
+    /// A client with no connections yet that treats them as told.
+    pub fn with_options(protocol: Protocol, options: Options) -> Client {
+        Client::with(protocol, HttpConnector::new(), options)
     }
 
     /// A client that connects from `address`, for tools that act for several callers.
     pub fn bound(protocol: Protocol, address: IpAddr) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_local_address(Some(address));
-        Client::with(protocol, connector)
+        Client::with(protocol, connector, Options::default())
     }
 
-    fn with(protocol: Protocol, mut connector: HttpConnector) -> Client {
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    fn with(protocol: Protocol, mut connector: HttpConnector, options: Options) -> Client {
+        connector.set_connect_timeout(Some(options.connect_timeout));
+        if let Some(silence) = options.silence {
+            connector.set_keepalive(Some(silence));
+            connector.set_keepalive_interval(Some(silence));
+            connector.set_keepalive_retries(Some(SILENCE_PROBES));
+            connector.set_tcp_user_timeout(Some(silence * (SILENCE_PROBES + 1)));
+        }
         connector.set_nodelay(true);
         let mut builder = legacy::Client::builder(TokioExecutor::new());
         builder.pool_timer(TokioTimer::new()).timer(TokioTimer::new());
-        builder.pool_idle_timeout(IDLE_TIMEOUT);
+        builder.pool_idle_timeout(options.idle_timeout);
+        if options.idle_timeout.is_zero() {
+            builder.pool_max_idle_per_host(0);
+        }
+        if protocol == Protocol::Http2 {
+            builder.http2_keep_alive_interval(options.silence);
+            builder.http2_keep_alive_timeout(options.silence.unwrap_or(IDLE_TIMEOUT));
+        }
         builder.http2_only(protocol == Protocol::Http2);
         Client { inner: builder.build(connector) }
     }
--- a/crates/node/src/http/header.rs
+++ b/crates/node/src/http/header.rs
@@ -23,6 +23,11 @@
 /// On a relay: `harmless` or `forbidden`.
 pub const REPEAT: HeaderName = HeaderName::from_static("oleanderspan-repeat");
 
+/// On the answer to a question for a slot: the server.
+pub const SERVER: HeaderName = HeaderName::from_static("oleanderspan-server");
+/// On a refusal between hosts: when to come back, in milliseconds.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("oleanderspan-retry-after-ms");
+
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
     HeaderName::from_static("keep-alive"),
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -20,6 +20,9 @@
 /// The largest head of a request.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// The smallest buffer that `hyper` takes.
+const LEAST_BUFFER_BYTES: usize = 8 << 10;
+
 /// The most requests at once on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 1024;
 
@@ -29,6 +32,27 @@
 /// The wait after a failed accept, so that a lack of descriptors is not made worse.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// How connections are treated.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Longest time for a client to send the head of a request, also of the first after a pause.
+    pub head_timeout: Duration,
+    /// The largest head of a request, in bytes.
+    pub max_head_bytes: usize,
+    /// How often an HTTP/2 client is asked whether it is still there.
+    pub ping_interval: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            head_timeout: HEAD_TIMEOUT,
+            max_head_bytes: MAX_HEAD_BYTES,
+            ping_interval: PING_INTERVAL,
+        }
+    }
+}
+
 /// Answers requests.
 pub trait Handler: Clone + Send + 'static {
     /// What an answer's body holds until it has ended.
@@ -44,6 +68,16 @@
 
 /// Serves until `stop`, then ends idle connections and waits for the last request in flight.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: H, stop: CancellationToken) {
+    serve_with(listener, handler, stop, Options::default).await;
+}
+
+/// Serves as [`serve`] does; each new connection asks for the options in force.
+pub async fn serve_with<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    stop: CancellationToken,
+    options: impl Fn() -> Options,
+) {
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -60,7 +94,8 @@
             let handler = handler.clone();
             async move { Ok::<_, Infallible>(handler.answer(request, peer).await) }
         });
-        let connection = builder().serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection =
+            builder(options()).serve_connection(TokioIo::new(stream), service).into_owned();
         let watched = graceful.watch(connection);
         // An error here is the client's: it went away or sent no HTTP.
         tokio::spawn(async move {
@@ -71,18 +106,19 @@
     graceful.shutdown().await;
 }
 
-fn builder() -> auto::Builder<TokioExecutor> {
+fn builder(options: Options) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+        .header_read_timeout(options.head_timeout)
+        .max_buf_size(options.max_head_bytes.max(LEAST_BUFFER_BYTES));
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
-        .keep_alive_interval(PING_INTERVAL)
-        .max_header_list_size(MAX_HEAD_BYTES as u32);
+        .keep_alive_interval(options.ping_interval)
+        .keep_alive_timeout(options.ping_interval)
+        .max_header_list_size(u32::try_from(options.max_head_bytes).unwrap_or(u32::MAX));
     builder
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod daemon;
 pub mod entry;
+pub mod gateway;
 pub mod http;
 pub mod log;
 pub mod metrics;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,4 +1,4 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
 
 use std::io;
 
@@ -10,15 +10,25 @@
 /// Records that may wait to be written; more are dropped and counted in a line of their own.
 const QUEUE_RECORDS: usize = 4096;
 
-/// Makes the logger of a process; the guard writes what is queued when it is dropped.
+/// Makes the logger of a process, which writes to standard error; the guard writes what is queued
+/// when it is dropped.
 pub fn start(settings: &settings::log::Log, process: &str) -> (Logger, slog_async::AsyncGuard) {
+    start_on(io::stderr(), settings, process)
+}
+
+/// Makes a logger as [`start`] does, which writes to `out`.
+pub fn start_on(
+    out: impl io::Write + Send + 'static,
+    settings: &settings::log::Log,
+    process: &str,
+) -> (Logger, slog_async::AsyncGuard) {
     let level = match settings.level {
         settings::log::Level::Error => Level::Error,
         settings::log::Level::Warning => Level::Warning,
         settings::log::Level::Info => Level::Info,
         settings::log::Level::Debug => Level::Debug,
     };
-    let lines = slog_logfmt::Logfmt::new(io::stderr()).build().fuse();
+    let lines = slog_logfmt::Logfmt::new(out).build().fuse();
     let (queued, guard) = slog_async::Async::new(lines)
         .chan_size(QUEUE_RECORDS)
         .overflow_strategy(OverflowStrategy::DropAndReport)
