Lend slots between regions, and remember objects by their last use

Change: region::loan decides what a region lends; the hosts that give out a service's slots settle it once a second. Whole servers are lent, so that few have to remember two regions' objects; objects are remembered by last use and by service. Changes of servers gather for 300 ms before the next call.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod forward;
 pub mod front;
 pub mod grant;
+pub mod lending;
 pub mod message;
 pub mod names;
 pub mod page;
@@ -67,6 +68,7 @@
         tokio::spawn(watch::servers(state.clone(), source.clone())),
         tokio::spawn(watch::hosts(state.clone(), source.clone())),
         tokio::spawn(peers::run(state.clone())),
+        tokio::spawn(lending::run(state.clone())),
         tokio::spawn(pump(state.clone())),
     ];
     let front = front::Front(state.clone());
--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -19,7 +19,8 @@
     gateway::{
         State,
         grant::{self, Refused},
-        message::{ASK_PATH, Ask, PING_PATH, Ping, Report},
+        lending,
+        message::{ASK_PATH, Ask, LOAN_PATH, PING_PATH, Ping, Report},
     },
     http::{Body, header as names, server::Handler},
 };
@@ -48,6 +49,7 @@
         let answered = match head.uri.path() {
             ASK_PATH => codec::from_wire(&body).map(Some),
             PING_PATH => return self.ping(&body),
+            LOAN_PATH => return self.loan(&body),
             _ => Ok(None),
         };
         match answered {
@@ -84,14 +86,19 @@
         let state = &self.0;
         let no_server = Refused { refusal: Refusal::NoServer, retry_after: None };
         let service = service::Name::try_from(ask.service.as_str()).map_err(|_| no_server)?;
-        let pool = state.snapshot().pool(&service, state.settings.region).map(Arc::clone);
+        let snapshot = state.snapshot();
+        if let Some(demand) = snapshot.demand(&service) {
+            demand.count();
+        }
+        let pool = snapshot.pool(&service, state.settings.region).map(Arc::clone);
+        drop(snapshot);
         let pool = pool.ok_or(no_server)?;
         let time = Time {
             objective: Duration::from_millis(ask.objective_ms),
             deadline: Duration::from_millis(ask.deadline_ms),
         };
         let not = ask.not.as_deref().and_then(|name| backend::Name::try_from(name).ok());
-        let wish = Wish { object: ask.object.map(Object::from_hash), not };
+        let wish = Wish { object: ask.object.map(Object::from_hash), not, is_bound: ask.is_bound };
         grant::acquire_here(&pool, state.clock, ask.priority, time, wish).await
     }
 
@@ -106,6 +113,26 @@
         }
     }
 
+    fn loan(&self, body: &[u8]) -> Answer {
+        let state = &self.0;
+        let answer = match codec::from_wire(body) {
+            Ok(question) => lending::answer(state, &question),
+            Err(error) => {
+                warn!(state.log, "unreadable question for a loan"; "reason" => %error);
+                return status(StatusCode::BAD_REQUEST);
+            }
+        };
+        // A host that does not give out the service's slots lends none.
+        let Some(answer) = answer else { return status(StatusCode::MISDIRECTED_REQUEST) };
+        match codec::to_wire(&answer) {
+            Ok(body) => Response::new(Body::from(Bytes::from(body))),
+            Err(error) => {
+                warn!(state.log, "cannot answer about a loan"; "reason" => %error);
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+
     fn ping(&self, body: &[u8]) -> Answer {
         let state = &self.0;
         let ping: Ping = match codec::from_wire(body) {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -9,7 +9,7 @@
     route::Route,
     service,
 };
-use slog::info;
+use slog::{debug, info};
 
 use crate::{
     entry::parcel::Parcel,
@@ -166,7 +166,7 @@
         region,
         priority: call.route.priority,
         time,
-        wish: Wish { object: call.object, not },
+        wish: Wish { object: call.object, not, is_bound: !call.route.homes.is_empty() },
     };
     let grant = grant::acquire(state, &want).await;
     let grant =
@@ -181,6 +181,9 @@
         Ok(Ok((head, collected))) => {
             let latency = state.clock.now().since(sent_at);
             grant::report(state, &want, &grant, Some(latency));
+            debug!(state.log, "answered"; "request" => call.id, "service" => %call.service,
+                "server" => %server.identity.name, "status" => head.status.as_u16(),
+                "object" => call.object.map(Object::hash), "latency_ms" => latency.as_millis());
             let is_failure = head.status.is_server_error();
             let answer = answer(head, collected, grant);
             if !is_failure {
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -8,6 +8,7 @@
     prelude::*,
     request::{Refusal, retry::Deadline},
     route::{Route, Table},
+    service,
 };
 use slog::{debug, info};
 
@@ -73,14 +74,14 @@
         let waits = waits.map_or(route.timeout, Duration::from_millis);
         let age = route.patience.age(waits);
         let limit = waits.min(route.timeout);
-        let object = object(&head.headers, state.names.object_cookie, &route);
         names::strip_hop_by_hop(&mut head.headers);
         names::strip_internal(&mut head.headers);
+        let service = route.split.next();
         let call = Call {
             id,
             route: &route,
-            service: route.split.next(),
-            object,
+            service,
+            object: object(&head.headers, state.names.object_cookie, &route, service),
             objective: Deadline(arrived + route.objective.saturating_sub(age)),
             deadline: Deadline(arrived + limit),
         };
@@ -122,7 +123,12 @@
 }
 
 /// The object that a request is about, on routes whose servers are faster on known ones.
-fn object(headers: &HeaderMap, cookie: &str, route: &Route) -> Option<Object> {
+fn object(
+    headers: &HeaderMap,
+    cookie: &str,
+    route: &Route,
+    service: &service::Name,
+) -> Option<Object> {
     if !route.is_sticky {
         return None;
     }
@@ -131,5 +137,5 @@
         let (name, value) = pair.trim().split_once('=')?;
         (name == cookie).then_some(value)
     });
-    pairs.next().map(|value| Object::from_hash(rank::weight(&route.prefix, value)))
+    pairs.next().map(|value| Object::from_hash(rank::weight(service.as_str(), value)))
 }
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -109,6 +109,9 @@
         let peer = snapshot.arbiter(&state.settings, want.service).filter(|_| is_home);
         let Some(peer) = peer else {
             let pool = snapshot.pool(want.service, want.region).map(Arc::clone);
+            if is_home && let Some(demand) = snapshot.demand(want.service) {
+                demand.count();
+            }
             drop(snapshot);
             let Some(pool) = pool else { return Err(no_server()) };
             let lease = acquire_here(&pool, state.clock, want.priority, time, wish).await?;
@@ -165,7 +168,7 @@
     let usable = servers.iter().filter(|server| is_usable(server));
     let mut load = Load {
         ahead: 0,
-        slots: usable.map(|server| server.slots()).sum(),
+        slots: usable.map(|server| server.own_slots()).sum(),
         mean_latency: pool.mean_latency(),
         typical_latency: pool.typical_latency(),
     };
@@ -218,6 +221,7 @@
         deadline_ms: millis(time.deadline),
         object: wish.object.map(Object::hash),
         not: wish.not.as_ref().map(|name| name.to_string()),
+        is_bound: wish.is_bound,
         reports,
     };
     let body = codec::to_wire(&message).map_err(no_answer)?;
--- /dev/null
+++ b/crates/node/src/gateway/lending.rs
@@ -0,0 +1,251 @@
+//! Settles loans of slots between the hosts that give them out in different regions.
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use oleanderspan::{
+    backend,
+    entry::{rank, roster::Peer},
+    prelude::*,
+    region::{
+        self,
+        loan::{self, Borrowed, Ledger, Slots, Standing},
+    },
+    service,
+};
+use slog::debug;
+
+use crate::{
+    codec,
+    gateway::{
+        State,
+        message::{LOAN_PATH, Loan},
+        state::{Beliefs, Shared, Snapshot, is_usable},
+    },
+    http::Body,
+};
+
+/// The longest time for an answer, between the farthest regions and with a lost packet.
+const ANSWER_LIMIT: Duration = Duration::from_millis(900);
+
+/// For how long the standing of a region counts after its last news.
+const STANDING_TERM: Duration = loan::TERM;
+
+/// Loans of one service.
+#[derive(Debug, Default)]
+pub struct Book {
+    /// What this region has lent.
+    pub ledger: Ledger,
+    borrowed: Map<region::Index, Borrowed>,
+    standings: Map<region::Index, (Standing, Instant)>,
+}
+
+impl Book {
+    /// Slots of other regions' servers that may be given out here.
+    pub fn borrowed(&self, now: Instant) -> impl Iterator<Item = (&backend::Name, u32)> {
+        let valid = self.borrowed.values().filter(move |borrowed| now < borrowed.expires);
+        valid.flat_map(|borrowed| &borrowed.slots).map(|(name, slots)| (name, *slots))
+    }
+
+    fn standings(
+        &self,
+        own: region::Index,
+        standing: Standing,
+        regions: usize,
+        now: Instant,
+    ) -> Vec<Option<Standing>> {
+        let of = |region: region::Index| match self.standings.get(&region) {
+            _ if region == own => Some(standing),
+            Some((standing, at)) if now.since(*at) < STANDING_TERM => Some(*standing),
+            _ => None,
+        };
+        (0..regions).map(|i| of(region::Index(u16::try_from(i).unwrap_or(u16::MAX)))).collect()
+    }
+}
+
+/// Talks to the other regions once an interval, for each service whose slots this host gives out.
+pub async fn run(state: State) {
+    loop {
+        tokio::time::sleep(loan::INTERVAL).await;
+        let snapshot = Arc::clone(&state.snapshot());
+        if !snapshot.is_ready() {
+            continue;
+        }
+        for service in snapshot.services() {
+            if let Some(demand) = snapshot.demand(service) {
+                demand.tick();
+            }
+            let is_arbiter =
+                !state.stop.has_begun() && snapshot.arbiter(&state.settings, service).is_none();
+            if !is_arbiter {
+                forget(&state, service);
+                continue;
+            }
+            adjust(&state, &snapshot, service);
+            for (region, _) in state.settings.atlas.regions() {
+                if region != state.settings.region {
+                    tokio::spawn(talk(state.clone(), service.clone(), region));
+                }
+            }
+        }
+    }
+}
+
+/// Another host gives out the slots now.
+fn forget(state: &Shared, service: &service::Name) {
+    if state.beliefs().books.contains_key(service) {
+        state.update(|beliefs, _| beliefs.books.remove(service).is_some());
+    }
+}
+
+/// Moves what is lent one step towards the plan.
+fn adjust(state: &Shared, snapshot: &Snapshot, service: &service::Name) {
+    let own = state.settings.region;
+    let standing = standing(state, snapshot, service);
+    let regions = state.settings.atlas.regions().count();
+    let is_idle = snapshot.demand(service).is_some_and(|demand| demand.is_idle());
+    let servers = lendable(state, snapshot, service);
+    state.update(|beliefs, now| {
+        let book = beliefs.books.entry(service.clone()).or_default();
+        let standings = book.standings(own, standing, regions, now);
+        let plan = loan::plan(own, &standings);
+        let mut is_news = false;
+        for (region, wanted) in (0u16..).map(region::Index).zip(plan) {
+            let before = book.ledger.lent_to(region);
+            let size = loan::step(before, wanted, standing.slots, is_idle);
+            book.ledger.set(region, size, &servers);
+            let after = book.ledger.lent_to(region);
+            if before != after {
+                debug!(state.log, "loan"; "service" => %service, "region" => region.0,
+                    "slots" => after, "before" => before, "wanted" => wanted);
+                is_news = true;
+            }
+        }
+        is_news
+    });
+}
+
+fn standing(state: &Shared, snapshot: &Snapshot, service: &service::Name) -> Standing {
+    let pool = snapshot.pool(service, state.settings.region);
+    let servers = pool.map(|pool| pool.servers()).unwrap_or_default();
+    let own = servers.iter().filter(|server| is_usable(server) && !server.is_borrowed());
+    let latency = pool.map(|pool| pool.mean_latency()).unwrap_or_default();
+    let demand = snapshot.demand(service).filter(|demand| demand.is_known());
+    Standing {
+        needed_milli: demand.map(|demand| demand.milli_slots(latency)),
+        slots: own.map(|server| server.slots()).sum(),
+    }
+}
+
+/// The servers whose slots may be lent: warm ones, as a cold one is limited for all together.
+fn lendable(
+    state: &Shared,
+    snapshot: &Snapshot,
+    service: &service::Name,
+) -> Vec<(backend::Name, u32)> {
+    let now = state.clock.now();
+    let pool = snapshot.pool(service, state.settings.region);
+    let servers = pool.map(|pool| pool.servers()).unwrap_or_default();
+    let servers = servers
+        .iter()
+        .filter(|server| is_usable(server) && !server.is_borrowed() && !server.cold().is_cold(now));
+    servers.map(|server| (server.identity.name.clone(), server.slots())).collect()
+}
+
+/// Tells another region how this one stands, and hears what it lends.
+async fn talk(state: State, service: service::Name, region: region::Index) {
+    let Some(peer) = counterpart(&state, &service, region) else { return };
+    let snapshot = Arc::clone(&state.snapshot());
+    let standing = standing(&state, &snapshot, &service);
+    let loans = {
+        let beliefs = state.beliefs();
+        let borrowed = beliefs.books.get(&service).and_then(|book| book.borrowed.get(&region));
+        borrowed.map(|borrowed| to_wire(borrowed.slots.iter().map(|(name, n)| (name, *n))))
+    };
+    let question = message(&state, &service, standing, loans.unwrap_or_default());
+    let Ok(body) = codec::to_wire(&question) else { return };
+    let request = Request::post(format!("http://{}{LOAN_PATH}", peer.address));
+    let Ok(request) = request.body(Body::from(Bytes::from(body))) else { return };
+    let answer: Option<Loan> = match state.peers.call(request, ANSWER_LIMIT).await {
+        Ok((StatusCode::OK, body)) => codec::from_wire(&body).ok(),
+        // The other region's hosts disagree for a moment about who gives out the slots.
+        Ok((StatusCode::MISDIRECTED_REQUEST, _)) => None,
+        Ok(_) | Err(_) => {
+            debug!(state.log, "no answer about a loan"; "host" => %peer.name);
+            state.update(|beliefs, now| {
+                beliefs.roster.distant_failed(&peer.name, now);
+                false
+            });
+            None
+        }
+    };
+    let Some(answer) = answer else { return };
+    state.update(|beliefs, now| {
+        let Some(book) = beliefs.books.get_mut(&service) else { return false };
+        note(book, region, &answer, now);
+        let slots = from_wire(&answer.loans);
+        let before = book
+            .borrowed
+            .insert(region, Borrowed { slots: slots.clone(), expires: now + loan::TERM });
+        before.is_none_or(|before| before.slots != slots || before.expires <= now)
+    });
+}
+
+/// The host that gives out a service's slots in another region, as far as can be told from here.
+fn counterpart(state: &Shared, service: &service::Name, region: region::Index) -> Option<Peer> {
+    let beliefs = state.beliefs();
+    let peers = beliefs.roster.distant(region, state.clock.now());
+    rank::first(peers, service.as_str(), |peer| peer.name.as_str()).cloned()
+}
+
+/// Answers another region, or `None` if this host does not give out the service's slots.
+pub fn answer(state: &Shared, question: &Loan) -> Option<Loan> {
+    let service = service::Name::try_from(question.service.as_str()).ok()?;
+    let region = state.settings.atlas.region(&question.region)?;
+    let snapshot = Arc::clone(&state.snapshot());
+    if state.stop.has_begun() || snapshot.arbiter(&state.settings, &service).is_some() {
+        return None;
+    }
+    let standing = standing(state, &snapshot, &service);
+    let mut loans = Vec::new();
+    state.update(|beliefs: &mut Beliefs, now| {
+        let book = beliefs.books.entry(service.clone()).or_default();
+        note(book, region, question, now);
+        let before = book.ledger.lent_to(region);
+        book.ledger.adopt(region, from_wire(&question.loans));
+        loans = to_wire(book.ledger.loans(region));
+        before != book.ledger.lent_to(region)
+    });
+    Some(message(state, &service, standing, loans))
+}
+
+fn note(book: &mut Book, region: region::Index, loan: &Loan, now: Instant) {
+    let standing = Standing { needed_milli: loan.needed_milli, slots: loan.slots };
+    book.standings.insert(region, (standing, now));
+}
+
+fn message(
+    state: &Shared,
+    service: &service::Name,
+    standing: Standing,
+    loans: Vec<(String, u32)>,
+) -> Loan {
+    let own = state.settings.atlas.regions().find(|(region, _)| *region == state.settings.region);
+    Loan {
+        service: service.to_string(),
+        region: own.map(|(_, name)| name.to_string()).unwrap_or_default(),
+        needed_milli: standing.needed_milli,
+        slots: standing.slots,
+        loans,
+    }
+}
+
+fn to_wire<'a>(slots: impl Iterator<Item = (&'a backend::Name, u32)>) -> Vec<(String, u32)> {
+    slots.map(|(name, slots)| (name.to_string(), slots)).collect()
+}
+
+fn from_wire(slots: &[(String, u32)]) -> Slots {
+    let known = slots
+        .iter()
+        .filter_map(|(name, slots)| Some((backend::Name::try_from(name.as_str()).ok()?, *slots)));
+    known.collect()
+}
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -27,6 +27,9 @@
     /// A server that has failed it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub not: Option<String>,
+    /// Whether it must not leave the region.
+    #[serde(default)]
+    pub is_bound: bool,
     /// What earlier requests have shown of servers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<Report>,
@@ -52,6 +55,25 @@
     pub is_leaving: bool,
 }
 
+/// Where hosts that give out slots in different regions settle loans.
+pub const LOAN_PATH: &str = "/loan";
+
+/// What the host that gives out a service's slots in a region says to that of another region.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Loan {
+    /// The service.
+    pub service: String,
+    /// The region that speaks.
+    pub region: String,
+    /// Slots that its requests need, in thousandths; none if it isn't known yet.
+    pub needed_milli: Option<u64>,
+    /// Slots of its servers.
+    pub slots: u32,
+    /// In a question the slots that the region holds of the other's servers, in an answer those
+    /// that it lends.
+    pub loans: Vec<(String, u32)>,
+}
+
 /// What the others know of a host through the store, as JSON.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Host {
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -20,6 +20,16 @@
 }
 
 impl Topic {
+    /// How long changes gather after a change before the next question. Servers must be known to
+    /// leave within two seconds, and hosts tell each other that they live.
+    pub const fn gathering(self) -> Duration {
+        match self {
+            Topic::Operator => Duration::ZERO,
+            Topic::Servers => Duration::from_millis(300),
+            Topic::Hosts => Duration::from_millis(500),
+        }
+    }
+
     /// The name in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -9,7 +9,7 @@
     backend::{self, Listing, Pool, Server, pool::Overload},
     entry::{Roster, rank, roster::Peer},
     prelude::*,
-    region,
+    region::{self, Demand},
     request::retry::Budget,
     route::{Route, Table},
     service,
@@ -19,7 +19,7 @@
 use crate::{
     clock::Monotonic,
     entry::{counters::Counters, slot::Ticket},
-    gateway::{Names, Settings, message::Report, peers, stop::Stop},
+    gateway::{Names, Settings, lending::Book, message::Report, peers, stop::Stop},
     http::{
         client::{self, Client, Protocol},
         server,
@@ -87,8 +87,11 @@
     pub evacuated: Set<availability::Index>,
     /// The other hosts of the region.
     pub roster: Roster,
+    /// Slots lent and borrowed, for the services whose slots this host gives out.
+    pub books: Map<service::Name, Book>,
     pools: Map<service::Name, Vec<Arc<Pool<Ticket>>>>,
     budgets: Map<service::Name, Arc<Budget>>,
+    demands: Map<service::Name, Arc<Demand>>,
 }
 
 /// What requests read; a new one replaces it whole.
@@ -103,6 +106,7 @@
     servers: Map<backend::Name, Arc<Server>>,
     pools: Map<service::Name, Vec<Arc<Pool<Ticket>>>>,
     budgets: Map<service::Name, Arc<Budget>>,
+    demands: Map<service::Name, Arc<Demand>>,
 }
 
 impl std::ops::Deref for State {
@@ -198,6 +202,7 @@
             let service = &known.entry.service;
             let Some(region) = settings.atlas.region_of(known.entry.zone) else { continue };
             known.server.set_barred(self.evacuated.contains(&known.entry.zone));
+            known.server.set_borrowed(false);
             if let Some(described) = self.table.as_ref().and_then(|table| table.service(service)) {
                 known.chill(described.cold_rate, now);
             }
@@ -215,24 +220,39 @@
             }
         }
         for (service, by_region) in lists {
-            let pools = self.pools.entry(service).or_insert_with(|| {
+            let pools = self.pools.entry(service.clone()).or_insert_with(|| {
                 let pool = || Arc::new(Pool::with_overload(Overload::Admit));
                 std::iter::repeat_with(pool).take(regions).collect()
             });
-            for (pool, mut list) in pools.iter().zip(by_region) {
+            let book = self.books.get(&service);
+            for (i, (pool, mut list)) in pools.iter().zip(by_region).enumerate() {
+                if i == usize::from(settings.region.0) {
+                    let lent = |server: &Server| {
+                        book.map_or(0, |book| book.ledger.lent_of(&server.identity.name))
+                    };
+                    list.iter().for_each(|server| server.withhold(lent(server)));
+                    let borrowed = book.into_iter().flat_map(|book| book.borrowed(now));
+                    for (name, slots) in borrowed {
+                        let Some(server) = servers.get(name) else { continue };
+                        let server: &Arc<Server> = server;
+                        server.set_borrowed(true);
+                        server.withhold(server.slots().saturating_sub(slots));
+                        list.push(Arc::clone(server));
+                    }
+                }
                 list.sort_by(|a, b| a.identity.cmp(&b.identity));
                 // The slots of the servers are the only ceiling here.
                 pool.update(list, u32::MAX);
             }
         }
-        let hosts = u32::try_from(self.roster.listed().count() + 1).unwrap_or(u32::MAX);
-        let reserve =
-            settings.repeats.slack * REPEAT_MARGIN_PERCENT / 100 / (hosts * regions as u32).max(1);
+        let hosts = u32::try_from(self.roster.len() + 1).unwrap_or(u32::MAX);
+        let reserve = settings.repeats.slack * REPEAT_MARGIN_PERCENT / 100 / hosts;
         let share = settings.repeats.share;
         for service in self.pools.keys() {
             if !self.budgets.contains_key(service) {
                 let budget = Budget::with_reserve(share, reserve.max(1));
                 self.budgets.insert(service.clone(), Arc::new(budget));
+                self.demands.insert(service.clone(), Arc::default());
             }
         }
         Snapshot {
@@ -242,6 +262,7 @@
             servers,
             pools: self.pools.clone(),
             budgets: self.budgets.clone(),
+            demands: self.demands.clone(),
         }
     }
 }
@@ -276,6 +297,16 @@
         self.budgets.get(service)
     }
 
+    /// The demand for a service in the own region.
+    pub fn demand(&self, service: &service::Name) -> Option<&Arc<Demand>> {
+        self.demands.get(service)
+    }
+
+    /// The services that have servers.
+    pub fn services(&self) -> impl Iterator<Item = &service::Name> {
+        self.pools.keys()
+    }
+
     /// The other host that gives out the slots of a service, or `None` if this one does.
     pub fn arbiter(&self, settings: &Settings, service: &service::Name) -> Option<&Peer> {
         let peer = rank::first(&self.peers, service.as_str(), |peer| peer.name.as_str())?;
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -92,6 +92,8 @@
                 let is_whole = after.is_none();
                 after = Some(batch.version);
                 apply(state, batch, is_whole);
+                // Changes come in groups; each group costs every host a call.
+                tokio::time::sleep(topic.gathering()).await;
             }
             Err(Error::HistoryLost) => {
                 info!(state.log, "reading a topic whole again"; "topic" => topic.as_str(),
@@ -305,12 +307,19 @@
                     beliefs.roster.unlist(&name);
                 }
                 Row::Host(name, Some(value)) => match decode(&value) {
-                    Ok(host) if is_neighbour(state, &host) => {
+                    Ok(host) => {
                         listed.insert(name.clone());
+                        let region = state.settings.atlas.find(&host.zone).map(|found| found.1);
                         let peer = Peer { name, callers: host.callers, address: host.peers };
-                        beliefs.roster.list(peer);
+                        match region {
+                            Some(region) if region == state.settings.region => {
+                                beliefs.roster.list(peer);
+                            }
+                            Some(region) => beliefs.roster.list_distant(peer, region),
+                            None => warn!(state.log, "listed host in an unknown zone";
+                                "host" => %peer.name, "zone" => host.zone),
+                        }
                     }
-                    Ok(_) => {}
                     Err(reason) => {
                         warn!(state.log, "listed host not used"; "host" => %name,
                             "reason" => reason);
@@ -323,12 +332,9 @@
             }
         }
         if is_whole {
-            let gone: Vec<entry::Name> = beliefs
-                .roster
-                .listed()
-                .filter(|peer| !listed.contains(&peer.name))
-                .map(|peer| peer.name.clone())
-                .collect();
+            let names = beliefs.roster.names();
+            let gone: Vec<entry::Name> =
+                names.filter(|name| !listed.contains(*name)).cloned().collect();
             gone.iter().for_each(|name| {
                 beliefs.roster.unlist(name);
             });
@@ -340,9 +346,3 @@
 fn decode(value: &[u8]) -> Result<message::Host, String> {
     codec::from_json(value).map_err(|error| error.to_string())
 }
-
-/// Whether a host is of the same region; others give out no slots here.
-fn is_neighbour(state: &State, host: &message::Host) -> bool {
-    let found = state.settings.atlas.find(&host.zone);
-    found.is_some_and(|(_, region)| region == state.settings.region)
-}
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -73,6 +73,14 @@
     pub object: Option<Object>,
     /// A server that has failed it.
     pub not: Option<crate::backend::Name>,
+    /// Whether it must not leave the region.
+    pub is_bound: bool,
+}
+
+impl Wish {
+    fn allows(&self, server: &Server) -> bool {
+        self.not.as_ref() != Some(&server.identity.name) && !(self.is_bound && server.is_borrowed())
+    }
 }
 
 /// What becomes of waiters when the queue is too long.
@@ -108,6 +116,7 @@
 #[derive(Debug)]
 struct Place<W> {
     waiter: W,
+    rank: Rank,
     wish: Wish,
     since: Instant,
     limit: Duration,
@@ -215,8 +224,7 @@
         if !self.is_queue_empty() {
             return None;
         }
-        let refused = |server: &Server| wish.not.as_ref() == Some(&server.identity.name);
-        self.take_where(wish.object, now, |server| !refused(server))
+        self.take_where(wish.object, now, |server| wish.allows(server))
     }
 
     /// Takes a slot on a server other than `not`, for a retry or a hedge.
@@ -239,7 +247,7 @@
         if self.is_queue_empty() {
             self.overloaded.store(false, Ordering::Relaxed);
         }
-        self.queues[usize::from(rank.0)].push(Place { waiter, wish, since: now, limit });
+        self.queues[usize::from(rank.0)].push(Place { waiter, rank, wish, since: now, limit });
         self.pump(now);
     }
 
@@ -257,6 +265,13 @@
             let granted = match self.next_place(now) {
                 Some(place) => {
                     let server = self.exchange(server, &place.wish, now);
+                    if place.wish.is_bound && server.is_borrowed() {
+                        // Nothing near is free; the waiter keeps its limit, behind its rank.
+                        server.give_back();
+                        self.gate.leave();
+                        self.queues[usize::from(place.rank.0)].push(place);
+                        return;
+                    }
                     place.waiter.grant(server)
                 }
                 None => Err(server),
@@ -301,13 +316,13 @@
     /// Exchanges a slot that is taken for a free one that suits the request better: one of a
     /// server that knows its object, or of another server than the one that failed it.
     fn exchange(&self, taken: Arc<Server>, wish: &Wish, now: Instant) -> Arc<Server> {
-        let has_failed = wish.not.as_ref() == Some(&taken.identity.name);
+        let has_failed = !wish.allows(&taken);
         let is_warm = wish.object.is_none_or(|object| taken.knows(object));
         if !has_failed && is_warm {
             return taken;
         }
         let suits = |server: &Server| {
-            wish.not.as_ref() != Some(&server.identity.name)
+            wish.allows(server)
                 && (has_failed || wish.object.is_some_and(|object| server.knows(object)))
         };
         let servers = self.servers.load();
@@ -376,11 +391,14 @@
         // Equal servers are told apart by a rank of the object, so that its requests meet again.
         let affinity = |server: &Server| match object {
             None => 0,
-            Some(object) if server.knows(object) => u64::MAX,
-            Some(object) => rank::weight_of(object.hash(), server.identity.name.as_str()) >> 1,
+            Some(object) => rank::weight_of(object.hash(), server.identity.name.as_str()),
         };
         free.max_by_key(|server| {
-            (is_sound(server), server.latency() <= slow, affinity(server), server.free())
+            let is_known = object.is_some_and(|object| server.knows(object));
+            // A server that two regions use has to remember the objects of both.
+            let is_near = (!server.is_borrowed(), !server.is_shared());
+            let speed = (is_sound(server), server.latency() <= slow);
+            (speed, is_known, is_near, affinity(server), server.free())
         })
     }
 }
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -1,6 +1,6 @@
 //! One backend server as a dispatching host sees it.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use crate::{
     availability,
@@ -25,7 +25,8 @@
 /// The weight of a new sample in the moving average of latency, as a divisor.
 const SAMPLE_DIVISOR: u64 = 8;
 
-/// Objects that a server is expected to be warm for; the platform's instances keep 10 to 33.
+/// Objects that a server is expected to be warm for: the measured latency doubles after 16 to 20
+/// other ones.
 const REMEMBERED_OBJECTS: usize = 16;
 
 key! {
@@ -46,6 +47,40 @@
     }
 }
 
+/// The objects that a server was sent requests for last.
+///
+/// Requests at once may both take the place of the oldest one; what is lost is a guess.
+#[derive(Debug)]
+struct Memory {
+    objects: [AtomicU64; REMEMBERED_OBJECTS],
+    /// When each was used last, as a count of uses.
+    used: [AtomicU64; REMEMBERED_OBJECTS],
+    uses: AtomicU64,
+}
+
+impl Memory {
+    const fn new() -> Memory {
+        Memory {
+            objects: [const { AtomicU64::new(0) }; REMEMBERED_OBJECTS],
+            used: [const { AtomicU64::new(0) }; REMEMBERED_OBJECTS],
+            uses: AtomicU64::new(0),
+        }
+    }
+
+    fn position(&self, object: Object) -> Option<usize> {
+        self.objects.iter().position(|known| known.load(Ordering::Relaxed) == object.0)
+    }
+
+    fn note(&self, object: Object) {
+        let now = self.uses.fetch_add(1, Ordering::Relaxed) + 1;
+        let oldest =
+            || (0..REMEMBERED_OBJECTS).min_by_key(|i| self.used[*i].load(Ordering::Relaxed));
+        let Some(place) = self.position(object).or_else(oldest) else { return };
+        self.objects[place].store(object.0, Ordering::Relaxed);
+        self.used[place].store(now, Ordering::Relaxed);
+    }
+}
+
 /// A backend server, with the counts that requests change.
 ///
 /// The counts stay with the server over snapshots, so they are shared by reference.
@@ -65,8 +100,9 @@
     answered_at: AtomicU64,
     cold: cold::Limiter,
     barred: AtomicBool,
-    objects: [AtomicU64; REMEMBERED_OBJECTS],
-    next_object: AtomicUsize,
+    borrowed: AtomicBool,
+    withheld: AtomicU32,
+    objects: Memory,
 }
 
 impl Server {
@@ -89,8 +125,9 @@
             answered_at: AtomicU64::new(0),
             cold: cold::Limiter::warm(),
             barred: AtomicBool::new(false),
-            objects: [const { AtomicU64::new(0) }; REMEMBERED_OBJECTS],
-            next_object: AtomicUsize::new(0),
+            borrowed: AtomicBool::new(false),
+            withheld: AtomicU32::new(0),
+            objects: Memory::new(),
         }
     }
 
@@ -100,7 +137,9 @@
             return false;
         }
         self.in_flight
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| (n < self.slots).then_some(n + 1))
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| {
+                (n < self.own_slots()).then_some(n + 1)
+            })
             .is_ok()
     }
 
@@ -117,7 +156,32 @@
     /// Slots that are free by this host's own count.
     pub fn free(&self) -> u32 {
         let takes_none = self.is_leaving() || self.is_barred();
-        if takes_none { 0 } else { self.slots.saturating_sub(self.in_flight()) }
+        if takes_none { 0 } else { self.own_slots().saturating_sub(self.in_flight()) }
+    }
+
+    /// Slots that this host may give out.
+    pub fn own_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.withheld.load(Ordering::SeqCst))
+    }
+
+    /// Whether another region gives out some of the slots.
+    pub fn is_shared(&self) -> bool {
+        self.withheld.load(Ordering::SeqCst) > 0
+    }
+
+    /// Withholds slots that another region gives out; see [`crate::region::loan`].
+    pub fn withhold(&self, slots: u32) {
+        self.withheld.store(slots, Ordering::SeqCst);
+    }
+
+    /// Sets whether the server's slots are borrowed from another region.
+    pub fn set_borrowed(&self, borrowed: bool) {
+        self.borrowed.store(borrowed, Ordering::SeqCst);
+    }
+
+    /// Whether the server's slots are borrowed from another region.
+    pub fn is_borrowed(&self) -> bool {
+        self.borrowed.load(Ordering::SeqCst)
     }
 
     /// The limit of requests while the server is cold.
@@ -138,15 +202,12 @@
 
     /// Remembers an object that the server has been sent a request for.
     pub fn note_object(&self, object: Object) {
-        if !self.knows(object) {
-            let place = self.next_object.fetch_add(1, Ordering::Relaxed) % REMEMBERED_OBJECTS;
-            self.objects[place].store(object.0, Ordering::Relaxed);
-        }
+        self.objects.note(object);
     }
 
     /// Whether the server has lately been sent a request for an object, so that it is faster.
     pub fn knows(&self, object: Object) -> bool {
-        self.objects.iter().any(|known| known.load(Ordering::Relaxed) == object.0)
+        self.objects.position(object).is_some()
     }
 
     /// Slots in all.
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -3,7 +3,7 @@
 //! The platform's store tells who exists; whether one lives is told by its answers alone, so that
 //! a host that is dead, frozen or cut off is no longer named to clients after a short while.
 
-use crate::{entry, prelude::*};
+use crate::{entry, prelude::*, region};
 
 /// How long a host is believed to live after its last answer: three missed questions.
 pub const SILENCE: Duration = Duration::from_millis(1_600);
@@ -30,10 +30,22 @@
     is_leaving: bool,
 }
 
-/// The other hosts of a region.
+/// For how long a host of another region that failed to answer is not asked again.
+const DISTANT_PAUSE: Duration = Duration::from_millis(3_000);
+
+/// A host of another region: it is not asked whether it lives, only passed over after a failure.
+#[derive(Debug)]
+struct Distant {
+    peer: Peer,
+    region: region::Index,
+    failed_at: Option<Instant>,
+}
+
+/// The other hosts, those of the own region and those of others.
 #[derive(Debug, Default)]
 pub struct Roster {
     seen: Map<entry::Name, Seen>,
+    distant: Map<entry::Name, Distant>,
 }
 
 impl Roster {
@@ -48,12 +60,49 @@
         true
     }
 
+    /// Takes a listed host of another region.
+    pub fn list_distant(&mut self, peer: Peer, region: region::Index) {
+        let name = peer.name.clone();
+        self.distant.insert(name, Distant { peer, region, failed_at: None });
+    }
+
+    /// Takes note that a host of another region gave no answer.
+    pub fn distant_failed(&mut self, name: &entry::Name, now: Instant) {
+        if let Some(distant) = self.distant.get_mut(name) {
+            distant.failed_at = Some(now);
+        }
+    }
+
+    /// The hosts of another region that have not failed lately.
+    pub fn distant(&self, region: region::Index, now: Instant) -> impl Iterator<Item = &Peer> {
+        let has_failed = move |distant: &Distant| {
+            distant.failed_at.is_some_and(|failed| now.since(failed) < DISTANT_PAUSE)
+        };
+        let there = self.distant.values().filter(move |distant| distant.region == region);
+        there.filter(move |distant| !has_failed(distant)).map(|distant| &distant.peer)
+    }
+
     /// Takes a host that is no longer listed.
     pub fn unlist(&mut self, name: &entry::Name) -> bool {
-        self.seen.remove(name).is_some()
+        self.seen.remove(name).is_some() | self.distant.remove(name).is_some()
+    }
+
+    /// The number of all listed hosts.
+    pub fn len(&self) -> usize {
+        self.seen.len() + self.distant.len()
+    }
+
+    /// Whether no other host is listed.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The names of all listed hosts.
+    pub fn names(&self) -> impl Iterator<Item = &entry::Name> {
+        self.seen.keys().chain(self.distant.keys())
     }
 
-    /// The listed hosts.
+    /// The listed hosts of the own region.
     pub fn listed(&self) -> impl Iterator<Item = &Peer> {
         self.seen.values().map(|seen| &seen.peer)
     }
--- a/crates/oleanderspan/src/region.rs
+++ b/crates/oleanderspan/src/region.rs
@@ -1,12 +1,15 @@
 //! Regions: how much work each may hold, and what the links between them may carry.
 
 pub mod budget;
+pub mod demand;
 pub mod gate;
 pub mod handover;
+pub mod loan;
 pub mod outage;
 pub mod pressure;
 
 pub use budget::Budget;
+pub use demand::Demand;
 pub use gate::Gate;
 pub use handover::Handover;
 pub use outage::Outage;
