Let late requests wait for a twelfth of their time

Cause: late requests that wait take slots, for long, from requests that would be in time. Change: LATE_WAIT_PERCENT 25 to 8; a late request is served if a slot is free or about to be, else it is refused at once.

--- a/crates/oleanderspan/src/request/admission.rs
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -10,7 +10,7 @@
 ///
 /// A late answer is worth little, so that holding it longer costs the caller more than an early
 /// refusal, after which it may find another host with room.
-const LATE_WAIT_PERCENT: u32 = 25;
+const LATE_WAIT_PERCENT: u32 = 8;
 
 /// The time for which slots are held before the first answer has told, as a guess.
 const UNKNOWN_LATENCY: Duration = Duration::from_millis(250);
