--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -106,6 +106,9 @@
                         "reason" => reason);
                     away_since = Some(state.clock.now());
                 }
+                // A whole list is answered at once, so that the store's return is known when it
+                // happens and not with the next change.
+                after = None;
                 tokio::time::sleep(jitter(pause, &mut Entropy)).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
--- a/crates/oleanderspan/src/backend/cold.rs
+++ b/crates/oleanderspan/src/backend/cold.rs
@@ -80,6 +80,8 @@
     /// The latest due time at which a request may go ahead of it.
     fn latest(&self, now: Instant) -> u64 {
         let interval = self.interval_nanos.load(Ordering::Relaxed);
-        now.as_nanos().saturating_add(interval.saturating_mul(u64::from(BURST - 1)))
+        let ahead = interval.checked_mul(u64::from(BURST - 1)).filter(|_| interval < u64::MAX);
+        // Without a rate there is nothing to go ahead of.
+        now.as_nanos().saturating_add(ahead.unwrap_or(0))
     }
 }
--- /dev/null
+++ b/crates/oleanderspan/tests/listing.rs
@@ -0,0 +1,144 @@
+//! Entries of servers come late, twice or not at all, and lapse while the store is away.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::net::Ipv4Addr;
+
+use oleanderspan::{
+    availability,
+    backend::{
+        self, Listing, cold,
+        listing::{Change, Entry},
+    },
+    prelude::*,
+    service,
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::ZERO + Duration::from_millis(millis)
+}
+
+fn name() -> backend::Name {
+    backend::Name::try_from("i-1").unwrap()
+}
+
+fn entry(born_millis: u64, sequence: u64) -> Entry {
+    Entry {
+        service: service::Name::try_from("stock").unwrap(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
+        zone: availability::Index(0),
+        slots: 4,
+        is_leaving: false,
+        cold_left: Duration::ZERO,
+        born_millis,
+        sequence,
+    }
+}
+
+fn listed(listing: &Listing) -> Arc<backend::Server> {
+    Arc::clone(&listing.get(&name()).unwrap().server)
+}
+
+#[test]
+fn a_new_start_under_the_same_name_is_a_new_server() {
+    let mut listing = Listing::default();
+    assert_eq!(listing.put(&name(), entry(1, 5), at(0)), Change::Joined);
+    let first = listed(&listing);
+    assert!(first.try_take());
+    assert_eq!(listing.put(&name(), entry(2, 0), at(1)), Change::Joined);
+    assert_eq!(listed(&listing).in_flight(), 0, "counts of the start before do not pass on");
+}
+
+#[test]
+fn entries_that_come_late_change_nothing() {
+    let mut listing = Listing::default();
+    listing.put(&name(), Entry { is_leaving: true, ..entry(2, 5) }, at(0));
+    assert_eq!(listing.put(&name(), entry(2, 4), at(1)), Change::None);
+    assert_eq!(listing.put(&name(), entry(1, 9), at(2)), Change::None);
+    assert!(listed(&listing).is_leaving());
+}
+
+#[test]
+fn the_first_sign_of_leaving_holds_for_the_whole_run() {
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(1, 1), at(0));
+    let leaving = Entry { is_leaving: true, ..entry(1, 2) };
+    assert_eq!(listing.put(&name(), leaving, at(1)), Change::Leaving);
+    assert_eq!(listing.put(&name(), entry(1, 3), at(2)), Change::None);
+    assert!(listed(&listing).is_leaving());
+}
+
+#[test]
+fn a_removed_entry_is_gone_at_once_while_the_store_is_well() {
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(1, 1), at(0));
+    let server = listed(&listing);
+    assert_eq!(listing.remove(&name(), at(10)), Change::Gone);
+    assert!(server.is_leaving(), "requests that hold a snapshot must not choose it any more");
+    assert!(listing.is_empty());
+}
+
+/// A removal just after the store came back may only be a lapse: the server is believed for two
+/// seconds, is back if it is listed again, and gone if not.
+#[test]
+fn a_lapsed_entry_is_believed_for_two_seconds_after_the_return_of_the_store() {
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(1, 1), at(0));
+    listing.store_returned(at(1_000));
+    assert_eq!(listing.remove(&name(), at(1_100)), Change::None);
+    assert!(!listed(&listing).is_leaving());
+    assert_eq!(listing.next_expiry(), Some(at(3_000)));
+    assert!(listing.expire(at(2_999)).is_empty());
+    assert_eq!(listing.expire(at(3_000)), vec![name()]);
+
+    listing.put(&name(), entry(1, 2), at(4_000));
+    listing.store_returned(at(5_000));
+    listing.remove(&name(), at(5_100));
+    listing.put(&name(), entry(1, 3), at(6_000));
+    assert!(listing.expire(at(9_000)).is_empty());
+    assert!(!listed(&listing).is_leaving());
+}
+
+#[test]
+fn a_leaving_server_has_no_grace() {
+    let mut listing = Listing::default();
+    listing.put(&name(), Entry { is_leaving: true, ..entry(1, 1) }, at(0));
+    listing.store_returned(at(1_000));
+    assert_eq!(listing.remove(&name(), at(1_100)), Change::Gone);
+}
+
+#[test]
+fn a_whole_list_tells_who_is_missing() {
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(1, 1), at(0));
+    let other = backend::Name::try_from("i-2").unwrap();
+    assert_eq!(listing.missing_from(&[other].into_iter().collect()), vec![name()]);
+}
+
+/// In no second does a cold server get more than its rate and a burst of two.
+#[test]
+fn a_cold_server_is_spared() {
+    let mut listing = Listing::default();
+    let cold = Entry { cold_left: Duration::from_millis(3_000), ..entry(1, 1) };
+    listing.put(&name(), cold, at(0));
+    listing.get(&name()).unwrap().chill(cold::Rate::per_1000_s(4_500), at(0));
+    let server = listed(&listing);
+    let passed: Vec<u64> = (0..6_000).filter(|ms| server.cold().try_pass(at(*ms))).collect();
+    let cold: Vec<u64> = passed.iter().copied().filter(|ms| *ms < 3_000).collect();
+    let busiest = cold
+        .iter()
+        .map(|from| cold.iter().filter(|ms| (*from..from + 1_000).contains(*ms)).count());
+    assert!(busiest.clone().max().unwrap() <= 6, "{:?}", busiest.max());
+    assert!(cold.len() >= 13, "it still serves: {}", cold.len());
+    assert_eq!(passed.len() - cold.len(), 3_000, "a warm server is not limited");
+}
+
+/// Without a rate a cold server gets nothing.
+#[test]
+fn a_rate_of_nothing_lets_nothing_through() {
+    let limiter = cold::Limiter::warm();
+    limiter.chill(at(1_000), cold::Rate::per_1000_s(0));
+    let passed = (0..1_000).filter(|ms| limiter.try_pass(at(*ms))).count();
+    assert!(passed <= 1, "{passed}");
+    assert!(limiter.try_pass(at(1_000)));
+}
