Tell the host that gives out slots which servers are not to be used

Change: the asking host says so with its next question, and the server is avoided for 2 s; a request asks up to 16 times. A failed start of a request is one log line. Before: a_host_that_knows_more_than_the_one_that_gives_out_slots_is_believed fails (503).

--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -11,7 +11,7 @@
     request::{Refusal, admission::Time},
     service,
 };
-use slog::warn;
+use slog::{info, warn};
 
 use crate::{
     codec,
@@ -28,6 +28,10 @@
 /// The largest message of another host, in bytes; the largest one sent is a tenth of it.
 const MAX_MESSAGE_BYTES: usize = 16 << 10;
 
+/// For how long a server is avoided after another host said that it is not to be used; it says so
+/// again as long as it is offered.
+const AVOIDANCE: Duration = Duration::from_millis(2_000);
+
 /// Answers other hosts.
 #[derive(Clone, Debug)]
 pub struct Arbiter(pub State);
@@ -108,6 +112,12 @@
         let server = backend::Name::try_from(report.server.as_str()).ok();
         let pool = service.and_then(|service| snapshot.pool(&service, self.0.settings.region));
         let server = server.and_then(|server| snapshot.server(&server));
+        if let (true, Some(server)) = (report.is_unusable, server) {
+            info!(self.0.log, "server avoided"; "server" => &report.server,
+                "reason" => "another host knows that it is not to be used");
+            server.avoid(self.0.clock.now() + AVOIDANCE);
+            return;
+        }
         if let (Some(pool), Some(server)) = (pool, server) {
             grant::note(pool, server, report.latency_us.map(Duration::from_micros));
         }
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -132,10 +132,11 @@
             && runs < call.route.max_attempts
             && attempts <= MAX_TURNS
             && budget.as_ref().is_some_and(|budget| budget.try_spend());
-        info!(state.log, "attempt failed"; "request" => call.id, "attempt" => attempts,
-            "service" => %call.service, "refusal" => failure.refusal.as_str(),
-            "server" => failure.server.as_ref().map(|name| name.as_str()),
-            "again" => again);
+        if let Some(server) = &failure.server {
+            info!(state.log, "attempt failed"; "request" => call.id, "attempt" => attempts,
+                "service" => %call.service, "refusal" => failure.refusal.as_str(),
+                "server" => %server, "again" => again);
+        }
         if !again {
             if let Some(answer) = failure.answer {
                 return Ok(answer);
@@ -185,12 +186,16 @@
                 "server" => %server.identity.name, "status" => head.status.as_u16(),
                 "object" => call.object.map(Object::hash), "latency_ms" => latency.as_millis());
             let is_failure = head.status.is_server_error();
+            let refusal = match head.status {
+                StatusCode::GATEWAY_TIMEOUT => Refusal::TimedOut,
+                _ => Refusal::Broken,
+            };
             let answer = answer(head, collected, grant);
             if !is_failure {
                 return Ok(answer);
             }
             server.observe_failure();
-            Err(Failure { answer: Some(answer), ..Failure::sent(Refusal::Broken, &server) })
+            Err(Failure { answer: Some(answer), ..Failure::sent(refusal, &server) })
         }
         Ok(Err((refusal, outcome))) => {
             grant::report(state, &want, &grant, None);
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -30,8 +30,9 @@
 /// The time that an answer of the giving host may take beyond the wait in its queue.
 const ASK_MARGIN: Duration = Duration::from_millis(150);
 
-/// The most hosts that are asked for one request, as they fail one after the other.
-const MAX_ASKS: u32 = 4;
+/// The most questions for one request, as hosts fail one after the other or offer servers that
+/// are not to be used. Each takes about as long as a packet to another zone and back.
+const MAX_ASKS: u32 = 16;
 
 /// The most reports that one question carries.
 const MAX_REPORTS: usize = 16;
@@ -126,6 +127,17 @@
             Err(Failure::Unusable(server)) => {
                 info!(state.log, "slot of a server that is not used here"; "request" => want.id,
                     "server" => %server, "host" => %peer.name);
+                let snapshot = state.snapshot();
+                let is_unusable = snapshot.server(&server).is_some()
+                    || state.beliefs().listing.has_departed(&server);
+                if is_unusable {
+                    state.reports.push(Report {
+                        service: want.service.to_string(),
+                        server: server.to_string(),
+                        latency_us: None,
+                        is_unusable,
+                    });
+                }
                 wish.not = Some(server);
             }
             Err(Failure::NoAnswer(reason)) => {
@@ -265,6 +277,7 @@
             server: server.identity.name.to_string(),
             latency_us: latency
                 .map(|latency| u64::try_from(latency.as_micros()).unwrap_or(u64::MAX)),
+            is_unusable: false,
         });
     }
 }
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -44,6 +44,10 @@
     pub server: String,
     /// How long it took to answer, in microseconds; none if it failed.
     pub latency_us: Option<u64>,
+    /// Whether the reporter knows that the server is not to be used: it leaves, is gone, or its
+    /// zone is evacuated. Nothing was sent to it then.
+    #[serde(default)]
+    pub is_unusable: bool,
 }
 
 /// Says who asks; the answer says who is there.
--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -14,6 +14,10 @@
 /// The platform's pages promise that living servers are listed again within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
 
+/// How long it is remembered that a server went: longer than any outage of the store in which
+/// another host may still believe in it.
+const DEPARTED_MEMORY: Duration = Duration::from_secs(60);
+
 value! {
     /// What a server says of itself.
     pub struct Entry {
@@ -66,6 +70,8 @@
 #[derive(Debug, Default)]
 pub struct Listing {
     known: Map<backend::Name, Known>,
+    /// When servers were seen to go, so that news of others who have not seen it do no harm.
+    departed: Map<backend::Name, Instant>,
     /// When the store came back last.
     returned_at: Option<Instant>,
 }
@@ -98,6 +104,7 @@
         if entry.is_leaving {
             server.mark_leaving();
         }
+        self.departed.remove(name);
         let warm_at = now + entry.cold_left;
         let known = Known { entry, server: Arc::new(server), warm_at, expires: None };
         self.known.insert(name.clone(), known);
@@ -119,6 +126,7 @@
             (_, Some(known)) => {
                 known.server.mark_leaving();
                 self.known.remove(name);
+                self.depart(name, now);
                 Change::Gone
             }
         }
@@ -142,10 +150,21 @@
             if let Some(known) = self.known.remove(name) {
                 known.server.mark_leaving();
             }
+            self.depart(name, now);
         }
         over
     }
 
+    /// Whether a server was listed and went.
+    pub fn has_departed(&self, name: &backend::Name) -> bool {
+        self.departed.contains_key(name)
+    }
+
+    fn depart(&mut self, name: &backend::Name, now: Instant) {
+        self.departed.retain(|_, at| now.since(*at) < DEPARTED_MEMORY);
+        self.departed.insert(name.clone(), now);
+    }
+
     /// When [`Listing::expire`] has something to do, if it has.
     pub fn next_expiry(&self) -> Option<Instant> {
         self.known.values().filter_map(|known| known.expires).min()
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -384,7 +384,9 @@
         let start = self.turn.fetch_add(1, Ordering::Relaxed) as usize % servers.len();
         let (behind, ahead) = servers.split_at(start);
         let candidates = ahead.iter().chain(behind).filter(|server| usable(server));
-        let free = candidates.filter(|server| server.free() > 0 && server.cold().is_open(now));
+        let free = candidates.filter(|server| {
+            server.free() > 0 && server.cold().is_open(now) && !server.is_avoided(now)
+        });
         let typical = self.typical_nanos.load(Ordering::Relaxed);
         let slow = Duration::from_nanos(typical.saturating_mul(SLOW_PERCENT) / 100);
         let is_sound = |server: &Server| !server.is_suspect();
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -102,6 +102,7 @@
     barred: AtomicBool,
     borrowed: AtomicBool,
     withheld: AtomicU32,
+    avoided_until: AtomicU64,
     objects: Memory,
 }
 
@@ -127,6 +128,7 @@
             barred: AtomicBool::new(false),
             borrowed: AtomicBool::new(false),
             withheld: AtomicU32::new(0),
+            avoided_until: AtomicU64::new(0),
             objects: Memory::new(),
         }
     }
@@ -174,6 +176,16 @@
         self.withheld.store(slots, Ordering::SeqCst);
     }
 
+    /// Gives out no slots until `until`: another host knows that the server is not to be used.
+    pub fn avoid(&self, until: Instant) {
+        self.avoided_until.fetch_max(until.as_nanos(), Ordering::Relaxed);
+    }
+
+    /// Whether another host has said that the server is not to be used.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        now.as_nanos() < self.avoided_until.load(Ordering::Relaxed)
+    }
+
     /// Sets whether the server's slots are borrowed from another region.
     pub fn set_borrowed(&self, borrowed: bool) {
         self.borrowed.store(borrowed, Ordering::SeqCst);
