Take new servers on the word of the host that gives out slots

Change: the answer to a question for a slot names the server's address, start and zone; a host that has never heard of the server uses it, unless it went or its zone is evacuated.

--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -1,7 +1,7 @@
 //! What a gateway answers other hosts: slots of the services that it gives out, and that it lives.
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oleanderspan::{
@@ -22,7 +22,7 @@
         lending,
         message::{ASK_PATH, Ask, LOAN_PATH, PING_PATH, Ping, Report},
     },
-    http::{Body, header as names, server::Handler},
+    http::{Body, server::Handler},
 };
 
 /// The largest message of another host, in bytes; the largest one sent is a tenth of it.
@@ -72,10 +72,12 @@
         ask.reports.iter().for_each(|report| self.note(report));
         match self.grant(&ask).await {
             Ok(lease) => {
-                let name = lease.server().map(|server| server.identity.name.to_string());
+                let mut headers = HeaderMap::new();
+                if let Some(server) = lease.server() {
+                    grant::server_headers(&mut headers, server, &self.0.settings.atlas);
+                }
                 let mut answer = Response::new(Body::Held(lease));
-                let name = names::value(name.as_deref().unwrap_or_default());
-                answer.headers_mut().insert(names::SERVER, name);
+                *answer.headers_mut() = headers;
                 answer
             }
             Err(refused) => {
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -1,10 +1,15 @@
 //! Slots of backend servers: one host of the region gives out those of a service, so that its
 //! counts are exact. The others ask it, and send the request to the server themselves.
 
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use hyper::body::Incoming;
 use oleanderspan::{
-    backend::{self, Pool, Server, pool::Wish, server::Object},
+    availability::Atlas,
+    backend::{
+        self, Pool, Server,
+        pool::Wish,
+        server::{Identity, Object},
+    },
     entry::roster::Peer,
     prelude::*,
     region,
@@ -127,17 +132,12 @@
             Err(Failure::Unusable(server)) => {
                 info!(state.log, "slot of a server that is not used here"; "request" => want.id,
                     "server" => %server, "host" => %peer.name);
-                let snapshot = state.snapshot();
-                let is_unusable = snapshot.server(&server).is_some()
-                    || state.beliefs().listing.has_departed(&server);
-                if is_unusable {
-                    state.reports.push(Report {
-                        service: want.service.to_string(),
-                        server: server.to_string(),
-                        latency_us: None,
-                        is_unusable,
-                    });
-                }
+                state.reports.push(Report {
+                    service: want.service.to_string(),
+                    server: server.to_string(),
+                    latency_us: None,
+                    is_unusable: true,
+                });
                 wish.not = Some(server);
             }
             Err(Failure::NoAnswer(reason)) => {
@@ -252,13 +252,44 @@
         let retry_after = wait.map(Duration::from_millis);
         return Err(Failure::Refused(Refused { refusal, retry_after }));
     }
-    let name = names::text(answer.headers(), &names::SERVER).unwrap_or("");
-    let name = backend::Name::try_from(name).map_err(no_answer)?;
-    let known = state.snapshot().server(&name).cloned();
-    match known.filter(|server| is_usable(server)) {
-        Some(server) => Ok(Grant::Foreign { server, hold: answer.into_body() }),
-        None => Err(Failure::Unusable(name)),
+    let offered = offered(answer.headers(), &state.settings.atlas)
+        .ok_or_else(|| no_answer("the answer names no server"))?;
+    let known = state.snapshot().server(&offered.identity.name).cloned();
+    let is_refuted = match &known {
+        Some(server) => !is_usable(server),
+        // The other host may have heard of a new server first.
+        None => {
+            let beliefs = state.beliefs();
+            beliefs.listing.has_departed(&offered.identity.name)
+                || beliefs.evacuated.contains(&offered.zone)
+        }
+    };
+    if is_refuted {
+        return Err(Failure::Unusable(offered.identity.name));
     }
+    let server = known.unwrap_or_else(|| Arc::new(offered));
+    Ok(Grant::Foreign { server, hold: answer.into_body() })
+}
+
+/// Names the server of a slot that was given out.
+pub fn server_headers(headers: &mut HeaderMap, server: &Server, atlas: &Atlas) {
+    headers.insert(names::SERVER, names::value(server.identity.name.as_str()));
+    headers.insert(names::SERVER_ADDRESS, names::value(&server.address.to_string()));
+    let incarnation = server.identity.incarnation.to_string();
+    headers.insert(names::SERVER_INCARNATION, names::value(&incarnation));
+    let zone = atlas.zone(server.zone).map_or("", |zone| zone.as_str());
+    headers.insert(names::SERVER_ZONE, names::value(zone));
+}
+
+/// The server that another host has given out a slot of.
+fn offered(headers: &HeaderMap, atlas: &Atlas) -> Option<Server> {
+    let name = backend::Name::try_from(names::text(headers, &names::SERVER)?).ok()?;
+    let incarnation = names::number(headers, &names::SERVER_INCARNATION)?;
+    let address = names::text(headers, &names::SERVER_ADDRESS)?.parse().ok()?;
+    let (zone, _) = atlas.find(names::text(headers, &names::SERVER_ZONE)?)?;
+    // Its slots are counted by the host that gives them out.
+    let slots = 1;
+    Some(Server::new(Identity { name, incarnation }, address, zone, slots))
 }
 
 /// Takes note of what a request has shown of its server, here and for the host that gives out
--- a/crates/node/src/http/header.rs
+++ b/crates/node/src/http/header.rs
@@ -25,6 +25,13 @@
 
 /// On the answer to a question for a slot: the server.
 pub const SERVER: HeaderName = HeaderName::from_static("oleanderspan-server");
+/// On the answer to a question for a slot: where the server takes requests.
+pub const SERVER_ADDRESS: HeaderName = HeaderName::from_static("oleanderspan-server-address");
+/// On the answer to a question for a slot: the start of the server.
+pub const SERVER_INCARNATION: HeaderName =
+    HeaderName::from_static("oleanderspan-server-incarnation");
+/// On the answer to a question for a slot: the zone of the server.
+pub const SERVER_ZONE: HeaderName = HeaderName::from_static("oleanderspan-server-zone");
 /// On a refusal between hosts: when to come back, in milliseconds.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("oleanderspan-retry-after-ms");
 
