--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -19,14 +19,26 @@
     Hosts,
 }
 
+/// How long changes gather for each host: 300 ms with 8 hosts and a second with 28.
+const GATHERING: Duration = Duration::from_millis(36);
+
+/// The least time for which changes gather: a server that joins or leaves writes twice.
+const LEAST_GATHERING: Duration = Duration::from_millis(300);
+
+/// The most time for which changes gather: half of the shortest bound for a server that leaves.
+const MOST_GATHERING: Duration = Duration::from_millis(1_000);
+
 impl Topic {
-    /// How long changes gather after a change before the next question. Servers must be known to
-    /// leave within two seconds, and hosts tell each other that they live.
-    pub const fn gathering(self) -> Duration {
+    /// How long changes gather after a change before the next question, for a system of `hosts`
+    /// hosts: each change costs every host a call, so that more hosts gather for longer.
+    pub fn gathering(self, hosts: usize) -> Duration {
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         match self {
             Topic::Operator => Duration::ZERO,
-            Topic::Servers => Duration::from_millis(300),
-            Topic::Hosts => Duration::from_millis(500),
+            // Servers must be known to leave within two seconds.
+            Topic::Servers => (GATHERING * hosts.max(1)).clamp(LEAST_GATHERING, MOST_GATHERING),
+            // Hosts tell each other that they live.
+            Topic::Hosts => MOST_GATHERING,
         }
     }
 
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -93,7 +93,8 @@
                 after = Some(batch.version);
                 apply(state, batch, is_whole);
                 // Changes come in groups; each group costs every host a call.
-                tokio::time::sleep(topic.gathering()).await;
+                let hosts = state.beliefs().roster.len() + 1;
+                tokio::time::sleep(topic.gathering(hosts)).await;
             }
             Err(Error::HistoryLost) => {
                 info!(state.log, "reading a topic whole again"; "topic" => topic.as_str(),
