Judge routes with an unreachable objective by what servers do

Change: such an objective is replaced by 115 % of the typical latency. The debug line of a request has how long its client waits and how old it is. Before: an_objective_that_no_server_reaches_does_not_starve_its_route fails.

--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -6,7 +6,7 @@
     backend::server::Object,
     entry::rank,
     prelude::*,
-    request::{Refusal, retry::Deadline},
+    request::{Refusal, admission, retry::Deadline},
     route::{Route, Table},
     service,
 };
@@ -77,18 +77,22 @@
         names::strip_hop_by_hop(&mut head.headers);
         names::strip_internal(&mut head.headers);
         let service = route.split.next();
+        let pool = state.snapshot().pool(service, state.settings.region).map(Arc::clone);
+        let typical = pool.map(|pool| pool.typical_latency()).unwrap_or_default();
+        let objective = admission::attainable(route.objective, typical);
         let call = Call {
             id,
             route: &route,
             service,
             object: object(&head.headers, state.names.object_cookie, &route, service),
-            objective: Deadline(arrived + route.objective.saturating_sub(age)),
+            objective: Deadline(arrived + objective.saturating_sub(age)),
             deadline: Deadline(arrived + limit),
         };
         let parcel = Parcel::receive(head.clone(), body, limit).await;
         let mut parcel = parcel.map_err(Ended::refused)?;
         debug!(state.log, "request"; "request" => id, "route" => &*route.name,
-            "service" => %call.service, "left_ms" => limit.as_millis());
+            "service" => %call.service, "left_ms" => limit.as_millis(),
+            "waits_ms" => waits.as_millis(), "age_ms" => age.as_millis());
         forward::forward(state, &call, &mut parcel).await
     }
 
--- a/crates/oleanderspan/src/request/admission.rs
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -12,6 +12,14 @@
 /// refusal, after which it may find another host with room.
 const LATE_WAIT_PERCENT: u32 = 8;
 
+/// How many times the typical latency exceeds an objective that no server reaches; less than that
+/// is overload, in which being late has to count.
+const UNATTAINABLE_FACTOR: u32 = 2;
+
+/// The objective instead of one that no server reaches, in percent of the typical latency: enough that a request which finds a
+/// slot soon counts as in time.
+const ATTAINABLE_PERCENT: u32 = 115;
+
 /// The time for which slots are held before the first answer has told, as a guess.
 const UNKNOWN_LATENCY: Duration = Duration::from_millis(250);
 
@@ -70,6 +78,17 @@
     },
 }
 
+/// The objective by which a request is judged whose route states `stated`.
+///
+/// An objective that no server reaches must not push a route behind all others for ever: its
+/// requests are judged by what servers do.
+pub fn attainable(stated: Duration, typical_latency: Duration) -> Duration {
+    match stated * UNATTAINABLE_FACTOR < typical_latency {
+        true => typical_latency * ATTAINABLE_PERCENT / 100,
+        false => stated,
+    }
+}
+
 /// Whether a request can still be answered within its objective if it is started now.
 pub fn is_late(time: Time, load: &Load) -> bool {
     time.objective < known(load.typical_latency)
--- a/crates/oleanderspan/tests/admission.rs
+++ b/crates/oleanderspan/tests/admission.rs
@@ -48,6 +48,16 @@
     assert!(matches!(admission::judge(time(100, 2_000), &load(8)), Verdict::Refuse { .. }));
 }
 
+/// The load: a route whose objective is shorter than any server's work. It is not late at once.
+#[test]
+fn an_objective_that_no_server_reaches_does_not_starve_its_route() {
+    let objective = admission::attainable(Duration::from_millis(100), WORK);
+    let time = Time { objective, deadline: Duration::from_millis(900) };
+    assert!(!admission::is_late(time, &load(0)));
+    let stated = Duration::from_millis(600);
+    assert_eq!(admission::attainable(stated, WORK), stated, "others keep theirs");
+}
+
 #[test]
 fn without_servers_nobody_waits() {
     let load = Load { slots: 0, ..load(0) };
