Survive SIGHUP, and log what was dropped without a word

Reading the diff: messages that could not be written or read were dropped without a line; Stop stood twice; a field was unused. Change: the settings file is checked at SIGHUP and the outcome logged; one function sends messages between hosts; entry::stop::Stop serves both daemons. Before: the process ends.

--- a/crates/node/src/entry/stop.rs
+++ b/crates/node/src/entry/stop.rs
@@ -57,6 +57,16 @@
         self.closed.clone()
     }
 
+    /// Marks that the process was told to stop.
+    pub fn begin(&self) {
+        self.enter(LEAVING);
+    }
+
+    /// Closes the caller port.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+
     fn enter(&self, phase: u8) {
         debug_assert!(self.phase.load(Ordering::Relaxed) + 1 == phase);
         self.phase.store(phase, Ordering::Relaxed);
@@ -66,7 +76,7 @@
 /// Closes the caller port after `stop`, as soon as no caller has a reason to come.
 pub async fn run(state: State, control: SocketAddr, stop: CancellationToken) {
     stop.cancelled().await;
-    state.stop.enter(LEAVING);
+    state.stop.begin();
     let notices = tokio::spawn(notify(state.clone(), control));
     let log: &Logger = &state.log;
     let detail = format!("locate answers are kept for {} s", max_age(&state).as_secs());
@@ -79,7 +89,7 @@
     state.stop.enter(CLOSING);
     info!(log, "closing");
     tokio::time::sleep(LAST_CALLS).await;
-    state.stop.closed.cancel();
+    state.stop.close();
     notices.abort();
 }
 
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -13,13 +13,14 @@
 pub mod names;
 pub mod page;
 pub mod peers;
+pub mod reload;
 pub mod settings;
 pub mod source;
 pub mod state;
 pub mod stop;
 pub mod watch;
 
-use std::io;
+use std::{io, path::PathBuf};
 
 use oleanderspan::prelude::*;
 use slog::{Logger, info};
@@ -36,9 +37,10 @@
 /// How often waiters are looked after whose servers free up by time alone.
 const PUMP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Runs until `stop` and the end of the last request in flight.
+/// Runs until `stop` and the end of the last request in flight; `path` is the settings file.
 pub async fn run<S: Source>(
     settings: Settings,
+    path: PathBuf,
     names: Names,
     source: S,
     log: Logger,
@@ -68,6 +70,7 @@
         tokio::spawn(watch::servers(state.clone(), source.clone())),
         tokio::spawn(watch::hosts(state.clone(), source.clone())),
         tokio::spawn(peers::run(state.clone())),
+        tokio::spawn(reload::run(state.clone(), path)),
         tokio::spawn(lending::run(state.clone())),
         tokio::spawn(pump(state.clone())),
     ];
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -32,9 +32,9 @@
     async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Answer {
         let state = &self.0;
         let arrived = state.clock.now();
-        let (mut head, body) = request.into_parts();
+        let (head, body) = request.into_parts();
         let id = names::text(&head.headers, &state.names.request_id).unwrap_or("").to_owned();
-        let answered = self.request(&id, &mut head, body, arrived).await;
+        let answered = self.request(&id, head, body, arrived).await;
         let mut answer = match answered {
             Ok(answer) => {
                 state.counters.count_done(state.clock.now().since(arrived));
@@ -53,7 +53,7 @@
     async fn request(
         &self,
         id: &str,
-        head: &mut request::Parts,
+        mut head: request::Parts,
         body: Incoming,
         arrived: Instant,
     ) -> Result<Answer, Ended> {
@@ -66,7 +66,7 @@
         if id.is_empty() || head.method == Method::CONNECT {
             return Err(Ended::refused(Refusal::Malformed));
         }
-        let route = find(&table, head).ok_or(Ended::refused(Refusal::NoService))?;
+        let route = find(&table, &head).ok_or(Ended::refused(Refusal::NoService))?;
         if body.size_hint().lower() > table.limits.max_body_bytes {
             return Err(Ended::refused(Refusal::TooLarge));
         }
@@ -88,7 +88,7 @@
             objective: Deadline(arrived + objective.saturating_sub(age)),
             deadline: Deadline(arrived + limit),
         };
-        let parcel = Parcel::receive(head.clone(), body, limit).await;
+        let parcel = Parcel::receive(head, body, limit).await;
         let mut parcel = parcel.map_err(Ended::refused)?;
         debug!(state.log, "request"; "request" => id, "route" => &*route.name,
             "service" => %call.service, "left_ms" => limit.as_millis(),
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -1,7 +1,7 @@
 //! Slots of backend servers: one host of the region gives out those of a service, so that its
 //! counts are exact. The others ask it, and send the request to the server themselves.
 
-use http::{HeaderMap, Request, StatusCode, header};
+use http::{HeaderMap, StatusCode, header};
 use hyper::body::Incoming;
 use oleanderspan::{
     availability::Atlas,
@@ -23,13 +23,12 @@
 
 use crate::{
     clock::Monotonic,
-    codec,
     entry::slot::{self, Lease, Ticket},
     gateway::{
-        message::{ASK_PATH, Ask, Report},
+        message::{self, ASK_PATH, Ask, Report},
         state::{Shared, is_usable},
     },
-    http::{Body, header as names},
+    http::header as names,
 };
 
 /// The time that an answer of the giving host may take beyond the wait in its queue.
@@ -236,10 +235,7 @@
         is_bound: wish.is_bound,
         reports,
     };
-    let body = codec::to_wire(&message).map_err(no_answer)?;
-    let request = Request::post(format!("http://{}{ASK_PATH}", peer.address))
-        .body(Body::from(bytes::Bytes::from(body)))
-        .map_err(no_answer)?;
+    let request = message::request(peer.address, ASK_PATH, &message).map_err(no_answer)?;
     let limit = time.deadline + ASK_MARGIN;
     let sent = tokio::time::timeout(limit, state.peers.send(request)).await;
     let answer = sent.map_err(|_| no_answer("no answer in time"))?;
--- a/crates/node/src/gateway/lending.rs
+++ b/crates/node/src/gateway/lending.rs
@@ -1,7 +1,6 @@
 //! Settles loans of slots between the hosts that give them out in different regions.
 
-use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::StatusCode;
 use oleanderspan::{
     backend,
     entry::{rank, roster::Peer},
@@ -12,16 +11,15 @@
     },
     service,
 };
-use slog::debug;
+use slog::{debug, info};
 
 use crate::{
     codec,
     gateway::{
         State,
-        message::{LOAN_PATH, Loan},
+        message::{self, LOAN_PATH, Loan},
         state::{Beliefs, Shared, Snapshot, is_usable},
     },
-    http::Body,
 };
 
 /// The longest time for an answer, between the farthest regions and with a lost packet.
@@ -161,16 +159,23 @@
         let borrowed = beliefs.books.get(&service).and_then(|book| book.borrowed.get(&region));
         borrowed.map(|borrowed| to_wire(borrowed.slots.iter().map(|(name, n)| (name, *n))))
     };
-    let question = message(&state, &service, standing, loans.unwrap_or_default());
-    let Ok(body) = codec::to_wire(&question) else { return };
-    let request = Request::post(format!("http://{}{LOAN_PATH}", peer.address));
-    let Ok(request) = request.body(Body::from(Bytes::from(body))) else { return };
-    let answer: Option<Loan> = match state.peers.call(request, ANSWER_LIMIT).await {
-        Ok((StatusCode::OK, body)) => codec::from_wire(&body).ok(),
+    let question = loan_of(&state, &service, standing, loans.unwrap_or_default());
+    let called = message::post(&state.peers, peer.address, LOAN_PATH, &question, ANSWER_LIMIT);
+    let answer: Option<Loan> = match called.await {
+        Ok((StatusCode::OK, body)) => codec::from_wire(&body)
+            .inspect_err(|error| {
+                info!(state.log, "unreadable answer about a loan"; "host" => %peer.name,
+                    "reason" => %error);
+            })
+            .ok(),
         // The other region's hosts disagree for a moment about who gives out the slots.
         Ok((StatusCode::MISDIRECTED_REQUEST, _)) => None,
-        Ok(_) | Err(_) => {
-            debug!(state.log, "no answer about a loan"; "host" => %peer.name);
+        Ok((status, _)) => {
+            info!(state.log, "no loan settled"; "host" => %peer.name, "status" => %status);
+            None
+        }
+        Err(error) => {
+            debug!(state.log, "no answer about a loan"; "host" => %peer.name, "reason" => %error);
             state.update(|beliefs, now| {
                 beliefs.roster.distant_failed(&peer.name, now);
                 false
@@ -215,7 +220,7 @@
         loans = to_wire(book.ledger.loans(region));
         before != book.ledger.lent_to(region)
     });
-    Some(message(state, &service, standing, loans))
+    Some(loan_of(state, &service, standing, loans))
 }
 
 fn note(book: &mut Book, region: region::Index, loan: &Loan, now: Instant) {
@@ -223,7 +228,7 @@
     book.standings.insert(region, (standing, now));
 }
 
-fn message(
+fn loan_of(
     state: &Shared,
     service: &service::Name,
     standing: Standing,
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -1,7 +1,20 @@
 //! What gateways send each other, as MessagePack.
 
+use std::fmt;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use oleanderspan::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::{
+    codec,
+    http::{
+        Body,
+        client::{self, Client},
+    },
+};
+
 /// Where a host asks another for a slot of a backend server.
 pub const ASK_PATH: &str = "/ask";
 
@@ -82,9 +95,53 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Host {
     /// Where callers reach it.
-    pub callers: std::net::SocketAddr,
+    pub callers: SocketAddr,
     /// Where other hosts reach it.
-    pub peers: std::net::SocketAddr,
+    pub peers: SocketAddr,
     /// Its zone.
     pub zone: String,
 }
+
+/// Sends a message to another host and reads its whole answer.
+pub async fn post<T: Serialize>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    message: &T,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), Error> {
+    let request = request(address, path, message)?;
+    client.call(request, limit).await.map_err(Error::Call)
+}
+
+/// Makes the request that carries a message.
+pub fn request<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    message: &T,
+) -> Result<Request<Body>, Error> {
+    let body = codec::to_wire(message).map_err(|error| Error::Encode(error.to_string()))?;
+    Request::post(format!("http://{address}{path}"))
+        .body(Body::from(Bytes::from(body)))
+        .map_err(|error| Error::Encode(error.to_string()))
+}
+
+/// Why a message brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// It could not be written.
+    Encode(String),
+    /// The other host gave no answer.
+    Call(client::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Encode(reason) => write!(f, "the message cannot be written: {reason}"),
+            Error::Call(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/node/src/gateway/peers.rs
+++ b/crates/node/src/gateway/peers.rs
@@ -1,20 +1,19 @@
 //! Asks the other hosts of the region whether they live.
 
-use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::StatusCode;
 use oleanderspan::{
     entry::roster::{self, Peer},
     prelude::*,
 };
-use slog::info;
+use slog::{info, warn};
 
 use crate::{
     codec,
     gateway::{
         State,
-        message::{PING_PATH, Ping},
+        message::{self, PING_PATH, Ping},
     },
-    http::{Body, client, server},
+    http::{client, server},
 };
 
 /// The longest time for an answer; a lost packet is sent again within it.
@@ -66,12 +65,13 @@
         host: state.settings.host.to_string(),
         is_leaving: state.stop.has_begun() || !state.snapshot().is_ready(),
     };
-    let Ok(body) = codec::to_wire(&own) else { return };
-    let request = Request::post(format!("http://{}{PING_PATH}", peer.address));
-    let Ok(request) = request.body(Body::from(Bytes::from(body))) else { return };
-    match state.peers.call(request, PING_LIMIT).await {
+    match message::post(&state.peers, peer.address, PING_PATH, &own, PING_LIMIT).await {
         Ok((StatusCode::OK, body)) => {
             let answer: Result<Ping, codec::Error> = codec::from_wire(&body);
+            if let Err(error) = &answer {
+                info!(state.log, "unreadable answer of a host"; "host" => %peer.name,
+                    "reason" => %error);
+            }
             // Another host may have taken over the address.
             if let Ok(answer) = answer.as_ref()
                 && answer.host == peer.name.as_str()
@@ -84,7 +84,7 @@
             info!(state.log, "host answered oddly"; "host" => %peer.name, "status" => %status);
         }
         // A refused connection proves that the process is gone; silence is judged by time.
-        Err(client::Error::Connect(reason)) => {
+        Err(message::Error::Call(client::Error::Connect(reason))) => {
             let was_live = state.beliefs().roster.live(state.clock.now()).contains(&peer);
             if was_live {
                 info!(state.log, "host refuses connections"; "host" => %peer.name,
@@ -92,6 +92,9 @@
             }
             state.update(|beliefs, _| beliefs.roster.failed(&peer.name));
         }
-        Err(_) => {}
+        Err(message::Error::Call(_)) => {}
+        Err(error @ message::Error::Encode(_)) => {
+            warn!(state.log, "cannot ask a host"; "host" => %peer.name, "reason" => %error);
+        }
     }
 }
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -87,6 +87,27 @@
 }
 
 impl Settings {
+    /// Whether a process with these settings does the same as one with `other`. What a host is,
+    /// where it listens and where its store is can't change while it runs.
+    pub fn is_alike(&self, other: &Settings) -> bool {
+        let own = |settings: &Settings| {
+            let listen = &settings.listen;
+            let addresses = [listen.callers, listen.ready, listen.directory, listen.peers];
+            (
+                settings.host.clone(),
+                settings.zone,
+                addresses,
+                listen.metrics,
+                settings.store.address,
+            )
+        };
+        own(self) == own(other)
+            && self.repeats.share == other.repeats.share
+            && self.repeats.slack == other.repeats.slack
+            && self.grace == other.grace
+            && self.log.level == other.log.level
+    }
+
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Settings, Error> {
         let bytes = fs::read(path).map_err(|error| Error::new("settings", error))?;
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a gateway share, and the snapshot that requests read.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
@@ -18,8 +18,8 @@
 
 use crate::{
     clock::Monotonic,
-    entry::{counters::Counters, slot::Ticket},
-    gateway::{Names, Settings, lending::Book, message::Report, peers, stop::Stop},
+    entry::{counters::Counters, slot::Ticket, stop::Stop},
+    gateway::{Names, Settings, lending::Book, message::Report, peers},
     http::{
         client::{self, Client, Protocol},
         server,
@@ -64,8 +64,6 @@
     pub log: Logger,
     /// What requests count.
     pub counters: Counters,
-    /// Numbers of requests that came without an identity.
-    pub unnamed: AtomicU64,
     /// How far a planned stop has come.
     pub stop: Stop,
     /// What requests have shown of servers that other hosts give out.
@@ -132,7 +130,6 @@
             peers: Client::with_options(Protocol::Http2, peers::client_options()),
             log,
             counters: Counters::new(),
-            unnamed: AtomicU64::new(0),
             stop: Stop::default(),
             reports: SegQueue::new(),
             snapshot: ArcSwap::default(),
--- a/crates/node/src/gateway/stop.rs
+++ b/crates/node/src/gateway/stop.rs
@@ -1,7 +1,5 @@
 //! A planned stop: leave the directory, finish what was read, close, exit within the grace.
 
-use std::sync::atomic::{AtomicU8, Ordering};
-
 use oleanderspan::prelude::*;
 use slog::{info, warn};
 use tokio_util::sync::CancellationToken;
@@ -19,32 +17,10 @@
 /// The longest time to take this host off the store's list.
 const WITHDRAW_LIMIT: Duration = Duration::from_millis(500);
 
-/// Set once the process was told to stop.
-const LEAVING: u8 = 1;
-
-/// How far a planned stop has come.
-#[derive(Debug, Default)]
-pub struct Stop {
-    phase: AtomicU8,
-    closed: CancellationToken,
-}
-
-impl Stop {
-    /// Whether the process was told to stop.
-    pub fn has_begun(&self) -> bool {
-        self.phase.load(Ordering::Relaxed) >= LEAVING
-    }
-
-    /// Cancelled when the caller port shall close.
-    pub fn closed(&self) -> CancellationToken {
-        self.closed.clone()
-    }
-}
-
 /// Waits for the signal, and closes the caller port when no caller has a reason to come.
 pub async fn run<S: Source>(state: State, source: S, stop: CancellationToken) {
     stop.cancelled().await;
-    state.stop.phase.store(LEAVING, Ordering::Relaxed);
+    state.stop.begin();
     info!(state.log, "stopping"; "grace_ms" => state.settings.grace.as_millis());
     let withdrawn = source.withdraw(&state.settings.host);
     match tokio::time::timeout(WITHDRAW_LIMIT, withdrawn).await {
@@ -56,5 +32,5 @@
     let accept = SPREAD.min(state.settings.grace * ACCEPT_PERCENT / 100);
     tokio::time::sleep(accept).await;
     info!(state.log, "closing");
-    state.stop.closed.cancel();
+    state.stop.close();
 }
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's store, and keeps what was learned while it is away.
 
 use oleanderspan::{
+    availability,
     backend::{self, listing},
     entry::{self, membership::jitter, roster::Peer},
     prelude::*,
@@ -15,6 +16,7 @@
     gateway::{
         Source, State, message,
         source::{Batch, Error, Row, Server, Topic},
+        state::Beliefs,
     },
 };
 
@@ -165,7 +167,7 @@
     });
 }
 
-fn evacuate(state: &State, zone: oleanderspan::availability::Index, is_active: bool) {
+fn evacuate(state: &State, zone: availability::Index, is_active: bool) {
     state.update(|beliefs, now| {
         let is_news = match is_active {
             true => beliefs.evacuated.insert(zone),
@@ -225,12 +227,7 @@
     });
 }
 
-fn drop_server(
-    state: &State,
-    beliefs: &mut crate::gateway::state::Beliefs,
-    name: &backend::Name,
-    now: Instant,
-) -> bool {
+fn drop_server(state: &State, beliefs: &mut Beliefs, name: &backend::Name, now: Instant) -> bool {
     let change = beliefs.listing.remove(name, now);
     log_change(state, name, change);
     change != listing::Change::None
