Deliver a failed server's answer, and believe no refusal of another request

Cause, found by reading the diff: when the server asked after a failed one gave no answer, the failed one's answer was replaced by 502; and an answer that named another request but said that it had not run was taken as proof that this one had not. Change: the answer is kept until another one comes; an answer of another request proves nothing.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -115,6 +115,7 @@
     let mut outcome = Outcome::NotRun;
     let (mut attempts, mut runs) = (0, 0);
     let mut not = None;
+    let mut answered = None;
     loop {
         let failure = match attempt(state, call, parcel, not.clone()).await {
             Ok(answer) => return Ok(answer),
@@ -137,8 +138,10 @@
                 "service" => %call.service, "refusal" => failure.refusal.as_str(),
                 "server" => %server, "again" => again);
         }
+        // The failure of a server is an answer, and is delivered if no other server gave one.
+        answered = failure.answer.or(answered);
         if !again {
-            if let Some(answer) = failure.answer {
+            if let Some(answer) = answered {
                 return Ok(answer);
             }
             let retry_after = failure.retry_after.or(failure.refusal.retry_after());
@@ -247,14 +250,14 @@
         client::Error::Broken(_) | client::Error::TimedOut => broken,
     })?;
     let (head, body) = answer.into_parts();
-    // A late answer to an earlier request on the connection belongs to nobody.
-    if names::text(&head.headers, &state.names.request_id) != Some(call.id) {
-        let is_not_run = head.headers.contains_key(&state.names.not_run);
-        return Err(if is_not_run { (Refusal::Shed, Outcome::NotRun) } else { broken });
+    // A late answer to an earlier request on the connection belongs to nobody. Only a server that
+    // refuses a request may leave out its identity.
+    let id = names::text(&head.headers, &state.names.request_id);
+    let is_refusal = head.headers.contains_key(&state.names.not_run);
+    if id != Some(call.id) && !(id.is_none() && is_refusal) {
+        return Err(broken);
     }
-    if head.headers.contains_key(&state.names.not_run)
-        || head.status == StatusCode::MISDIRECTED_REQUEST
-    {
+    if is_refusal || head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err((Refusal::Shed, Outcome::NotRun));
     }
     if head.status.is_success() && !head.headers.contains_key(&state.names.seal) {
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use crossbeam_queue::SegQueue;
 use oleanderspan::{
     availability,
-    backend::{self, Listing, Pool, Server, pool::Overload},
+    backend::{self, Listing, Pool, Server, listing::Known, pool::Overload},
     entry::{Roster, rank, roster::Peer},
     prelude::*,
     region::{self, Demand},
@@ -192,78 +192,101 @@
     }
 
     fn snapshot(&mut self, settings: &Settings, now: Instant) -> Snapshot {
+        let servers = self.mark_servers(now);
+        self.fill_pools(settings, &servers, now);
+        self.add_budgets(settings);
+        Snapshot {
+            table: self.table.clone(),
+            has_servers: self.has_servers,
+            peers: self.roster.live(now),
+            servers,
+            pools: self.pools.clone(),
+            budgets: self.budgets.clone(),
+            demands: self.demands.clone(),
+        }
+    }
+
+    /// Puts what is believed of each server into force: evacuations, and how long it is cold.
+    fn mark_servers(&self, now: Instant) -> Map<backend::Name, Arc<Server>> {
+        let mark = |(name, known): (&backend::Name, &Known)| {
+            let server = &known.server;
+            server.set_barred(self.evacuated.contains(&known.entry.zone));
+            server.set_borrowed(false);
+            let table = self.table.as_ref();
+            if let Some(service) = table.and_then(|table| table.service(&known.entry.service)) {
+                known.chill(service.cold_rate, now);
+            }
+            (name.clone(), Arc::clone(server))
+        };
+        self.listing.iter().map(mark).collect()
+    }
+
+    /// Gives each pool its servers; those of the own region lend and borrow.
+    fn fill_pools(
+        &mut self,
+        settings: &Settings,
+        servers: &Map<backend::Name, Arc<Server>>,
+        now: Instant,
+    ) {
         let regions = settings.atlas.regions().count();
-        let mut lists: Map<service::Name, Vec<Vec<Arc<Server>>>> = Map::default();
-        let mut servers = Map::default();
-        for (name, known) in self.listing.iter() {
-            let service = &known.entry.service;
+        let empty = || vec![Vec::new(); regions];
+        // A service whose last server went keeps its pools, and they become empty.
+        let known = self.pools.keys().map(|service| (service.clone(), empty()));
+        let mut lists: Map<service::Name, Vec<Vec<Arc<Server>>>> = known.collect();
+        for (_, known) in self.listing.iter() {
             let Some(region) = settings.atlas.region_of(known.entry.zone) else { continue };
-            known.server.set_barred(self.evacuated.contains(&known.entry.zone));
-            known.server.set_borrowed(false);
-            if let Some(described) = self.table.as_ref().and_then(|table| table.service(service)) {
-                known.chill(described.cold_rate, now);
-            }
-            servers.insert(name.clone(), Arc::clone(&known.server));
-            if !lists.contains_key(service) {
-                lists.insert(service.clone(), vec![Vec::new(); regions]);
-            }
-            if let Some(list) = lists.get_mut(service) {
-                list[usize::from(region.0)].push(Arc::clone(&known.server));
-            }
+            let list = lists.entry(known.entry.service.clone()).or_insert_with(empty);
+            list[usize::from(region.0)].push(Arc::clone(&known.server));
         }
-        for name in self.pools.keys() {
-            if !lists.contains_key(name) {
-                lists.insert(name.clone(), vec![Vec::new(); regions]);
+        for (service, mut by_region) in lists {
+            if let Some(own) = by_region.get_mut(usize::from(settings.region.0)) {
+                lend_and_borrow(own, self.books.get(&service), servers, now);
             }
-        }
-        for (service, by_region) in lists {
-            let pools = self.pools.entry(service.clone()).or_insert_with(|| {
+            let pools = self.pools.entry(service).or_insert_with(|| {
                 let pool = || Arc::new(Pool::with_overload(Overload::Admit));
                 std::iter::repeat_with(pool).take(regions).collect()
             });
-            let book = self.books.get(&service);
-            for (i, (pool, mut list)) in pools.iter().zip(by_region).enumerate() {
-                if i == usize::from(settings.region.0) {
-                    let lent = |server: &Server| {
-                        book.map_or(0, |book| book.ledger.lent_of(&server.identity.name))
-                    };
-                    list.iter().for_each(|server| server.withhold(lent(server)));
-                    let borrowed = book.into_iter().flat_map(|book| book.borrowed(now));
-                    for (name, slots) in borrowed {
-                        let Some(server) = servers.get(name) else { continue };
-                        let server: &Arc<Server> = server;
-                        server.set_borrowed(true);
-                        server.withhold(server.slots().saturating_sub(slots));
-                        list.push(Arc::clone(server));
-                    }
-                }
+            for (pool, mut list) in pools.iter().zip(by_region) {
                 list.sort_by(|a, b| a.identity.cmp(&b.identity));
                 // The slots of the servers are the only ceiling here.
                 pool.update(list, u32::MAX);
             }
         }
+    }
+
+    /// Gives new services their budget of repeats and their count of requests.
+    fn add_budgets(&mut self, settings: &Settings) {
         let hosts = u32::try_from(self.roster.len() + 1).unwrap_or(u32::MAX);
         let reserve = settings.repeats.slack * REPEAT_MARGIN_PERCENT / 100 / hosts;
-        let share = settings.repeats.share;
-        for service in self.pools.keys() {
-            if !self.budgets.contains_key(service) {
-                let budget = Budget::with_reserve(share, reserve.max(1));
-                self.budgets.insert(service.clone(), Arc::new(budget));
-                self.demands.insert(service.clone(), Arc::default());
-            }
-        }
-        Snapshot {
-            table: self.table.clone(),
-            has_servers: self.has_servers,
-            peers: self.roster.live(now),
-            servers,
-            pools: self.pools.clone(),
-            budgets: self.budgets.clone(),
-            demands: self.demands.clone(),
+        let known = |service: &&service::Name| self.budgets.contains_key(*service);
+        let new: Vec<service::Name> =
+            self.pools.keys().filter(|service| !known(service)).cloned().collect();
+        for service in new {
+            let budget = Budget::with_reserve(settings.repeats.share, reserve.max(1));
+            self.budgets.insert(service.clone(), Arc::new(budget));
+            self.demands.insert(service, Arc::default());
         }
     }
 }
 
+/// Withholds what a region has lent of its servers, and adds those that it has borrowed.
+fn lend_and_borrow(
+    own: &mut Vec<Arc<Server>>,
+    book: Option<&Book>,
+    servers: &Map<backend::Name, Arc<Server>>,
+    now: Instant,
+) {
+    for server in own.iter() {
+        server.withhold(book.map_or(0, |book| book.ledger.lent_of(&server.identity.name)));
+    }
+    for (name, slots) in book.into_iter().flat_map(|book| book.borrowed(now)) {
+        let Some(server) = servers.get(name) else { continue };
+        server.set_borrowed(true);
+        server.withhold(server.slots().saturating_sub(slots));
+        own.push(Arc::clone(server));
+    }
+}
+
 impl Snapshot {
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
