Let one host of a zone read from the store for the others

Change: in a zone of four hosts or more the one of the highest rank reads a topic and keeps the latest answers of the store as they came; the others ask it, and read for themselves when it gives none.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -5,6 +5,7 @@
 
 pub mod arbiter;
 pub mod directory;
+pub mod feed;
 pub mod forward;
 pub mod front;
 pub mod grant;
--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -17,10 +17,10 @@
     codec,
     entry::slot::Lease,
     gateway::{
-        State,
+        State, feed,
         grant::{self, Given, Refused},
         lending,
-        message::{ASK_PATH, Ask, LOAN_PATH, PING_PATH, Ping, Report},
+        message::{ASK_PATH, Ask, FOLLOW_PATH, LOAN_PATH, PING_PATH, Ping, Report},
     },
     http::{Body, server::Handler},
 };
@@ -54,6 +54,7 @@
             ASK_PATH => codec::from_wire(&body).map(Some),
             PING_PATH => return self.ping(&body),
             LOAN_PATH => return self.loan(&body),
+            FOLLOW_PATH => return self.follow(&body).await,
             _ => Ok(None),
         };
         match answered {
@@ -144,6 +145,16 @@
         }
     }
 
+    async fn follow(&self, body: &[u8]) -> Answer {
+        match codec::from_wire(body) {
+            Ok(question) => feed::answer(&self.0, &question).await,
+            Err(error) => {
+                warn!(self.0.log, "unreadable question for changes"; "reason" => %error);
+                status(StatusCode::BAD_REQUEST)
+            }
+        }
+    }
+
     fn ping(&self, body: &[u8]) -> Answer {
         let state = &self.0;
         let ping: Ping = match codec::from_wire(body) {
--- /dev/null
+++ b/crates/node/src/gateway/feed.rs
@@ -0,0 +1,137 @@
+//! Changes of the store that one host of a zone reads for the others; see
+//! [`oleanderspan::entry::journal`].
+
+use std::fmt;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use oleanderspan::{
+    entry::{
+        journal::{Entry, Journal, Next},
+        roster::Peer,
+    },
+    prelude::*,
+};
+use tokio::sync::watch;
+
+use crate::{
+    gateway::{
+        State,
+        message::{self, FOLLOW_PATH, Follow},
+        source::{Page, Topic},
+    },
+    http::{Body, header as names},
+};
+
+/// How long a question for changes stays open at the host that reads them.
+const WAIT: Duration = Duration::from_millis(20_000);
+
+/// How much longer the answer may take.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// The journal of one topic, and who waits for its changes.
+#[derive(Debug)]
+pub struct Feed(watch::Sender<Journal<Bytes>>);
+
+impl Default for Feed {
+    fn default() -> Feed {
+        Feed(watch::Sender::new(Journal::default()))
+    }
+}
+
+impl Feed {
+    /// Takes the next changes that the store told this host.
+    pub fn push(&self, entry: Entry<Bytes>) {
+        self.0.send_modify(|journal| journal.push(entry));
+    }
+
+    /// Starts over after this host read the whole topic.
+    pub fn restart(&self, version: u64) {
+        self.0.send_modify(|journal| journal.restart(version));
+    }
+
+    /// This host no longer reads the topic, or the store gives it no answers.
+    pub fn stop(&self) {
+        self.0.send_if_modified(Journal::stop);
+    }
+
+    async fn next(&self, after: u64) -> Next<Bytes> {
+        let mut journal = self.0.subscribe();
+        let news = journal.wait_for(|journal| journal.next(after) != Next::Wait);
+        match tokio::time::timeout(WAIT, news).await {
+            Ok(Ok(journal)) => journal.next(after),
+            // The sender lives as long as the state that is borrowed here.
+            Ok(Err(_)) => Next::Idle,
+            Err(_) => Next::Wait,
+        }
+    }
+}
+
+/// Answers a host that asks for changes.
+pub async fn answer<G>(state: &State, question: &Follow) -> Response<Body<G>> {
+    let topic = Topic::ALL.into_iter().find(|topic| topic.as_str() == question.topic);
+    let next = match topic {
+        Some(topic) => state.journal(topic).next(question.after).await,
+        None => Next::Idle,
+    };
+    let (status, body) = match &next {
+        Next::Entry(entry) => (StatusCode::OK, entry.page.clone()),
+        Next::Wait => (StatusCode::NO_CONTENT, Bytes::new()),
+        Next::Lost => (StatusCode::GONE, Bytes::new()),
+        Next::Idle => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    };
+    let mut answer = Response::new(Body::from(body));
+    *answer.status_mut() = status;
+    if let Next::Entry(entry) = next {
+        let version = names::value(&entry.version.to_string());
+        answer.headers_mut().insert(names::VERSION, version);
+    }
+    answer
+}
+
+/// Asks the host that reads a topic for the changes after a version; none if there are none yet.
+pub async fn ask(
+    state: &State,
+    reader: &Peer,
+    topic: Topic,
+    after: u64,
+) -> Result<Option<Page>, Error> {
+    let question = Follow { topic: topic.as_str().to_owned(), after };
+    let request = message::request(reader.address, FOLLOW_PATH, &question);
+    let request = request.map_err(|error| Error::NoAnswer(error.to_string()))?;
+    let answered = state.peers.call_with_head(request, WAIT + ANSWER_MARGIN).await;
+    let (head, bytes) = answered.map_err(|error| Error::NoAnswer(error.to_string()))?;
+    match head.status {
+        StatusCode::OK => {
+            let version = names::number(&head.headers, &names::VERSION);
+            let version = version.ok_or_else(|| Error::Unreadable("no version".to_owned()))?;
+            Ok(Some(Page { version, bytes }))
+        }
+        StatusCode::NO_CONTENT => Ok(None),
+        StatusCode::GONE => Err(Error::Lost),
+        status => Err(Error::NoAnswer(format!("status {status}"))),
+    }
+}
+
+/// Why another host handed on no changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// It gave no answer, or does not read the topic.
+    NoAnswer(String),
+    /// It does not keep changes that old.
+    Lost,
+    /// What it handed on can't be read.
+    Unreadable(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::NoAnswer(reason) => write!(f, "no answer: {reason}"),
+            Error::Lost => f.write_str("it keeps no changes so old"),
+            Error::Unreadable(reason) => write!(f, "unreadable: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -66,6 +66,18 @@
     pub is_unusable: bool,
 }
 
+/// Where a host asks for changes of the store that another one reads for it.
+pub const FOLLOW_PATH: &str = "/follow";
+
+/// A question for changes of the store; it stays open until there are some.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Follow {
+    /// What is followed.
+    pub topic: String,
+    /// The version that is known already.
+    pub after: u64,
+}
+
 /// Says who asks; the answer says who is there.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Ping {
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use oleanderspan::{
     backend, entry,
     prelude::*,
@@ -19,7 +20,7 @@
     Hosts,
 }
 
-/// How long changes gather for each host: 300 ms with 8 hosts and a second with 28.
+/// How long changes gather for each host that reads: 300 ms with 8 hosts and a second with 28.
 const GATHERING: Duration = Duration::from_millis(36);
 
 /// The least time for which changes gather: a server that joins or leaves writes twice.
@@ -29,8 +30,11 @@
 const MOST_GATHERING: Duration = Duration::from_millis(1_000);
 
 impl Topic {
-    /// How long changes gather after a change before the next question, for a system of `hosts`
-    /// hosts: each change costs every host a call, so that more hosts gather for longer.
+    /// All topics.
+    pub const ALL: [Topic; 3] = [Topic::Operator, Topic::Servers, Topic::Hosts];
+
+    /// How long changes gather after a change before the next question, if `hosts` hosts read: each
+    /// change costs each of them a call, so that more of them gather for longer.
     pub fn gathering(self, hosts: usize) -> Duration {
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         match self {
@@ -100,19 +104,20 @@
     pub sequence: u64,
 }
 
-/// Rows, and the version of the store that they show.
-#[derive(Clone, Debug)]
-pub struct Batch {
-    /// The rows.
-    pub rows: Vec<Row>,
-    /// The version.
+/// A part of an answer of the store as it came, so that hosts can hand it on to each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Page {
+    /// The version of the store that it shows.
     pub version: u64,
+    /// What [`Source::decode`] reads.
+    pub bytes: Bytes,
 }
 
 /// A platform's store.
 pub trait Source: Clone + Send + Sync + 'static {
-    /// Reads all rows of a topic.
-    fn list(&self, topic: Topic) -> impl Future<Output = Result<Batch, Error>> + Send;
+    /// Reads all rows of a topic. Later pages may be newer; changes since the first one's version
+    /// have to be asked for.
+    fn list(&self, topic: Topic) -> impl Future<Output = Result<Vec<Page>, Error>> + Send;
 
     /// Waits up to `wait` for rows that changed after a version.
     fn follow(
@@ -120,7 +125,10 @@
         topic: Topic,
         after: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<Batch, Error>> + Send;
+    ) -> impl Future<Output = Result<Page, Error>> + Send;
+
+    /// The rows of a page.
+    fn decode(&self, topic: Topic, page: &[u8]) -> Result<Vec<Row>, Error>;
 
     /// Lists this host, with what the others shall know of it.
     fn announce(
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -19,7 +19,7 @@
 use crate::{
     clock::Monotonic,
     entry::{counters::Counters, slot::Ticket, stop::Stop},
-    gateway::{Names, Settings, lending::Book, message::Report, peers},
+    gateway::{Names, Settings, feed::Feed, lending::Book, message::Report, peers, source::Topic},
     http::{
         client::{self, Client, Protocol},
         server,
@@ -68,6 +68,7 @@
     pub stop: Stop,
     /// What requests have shown of servers that other hosts give out.
     pub reports: SegQueue<Report>,
+    feeds: [Feed; Topic::ALL.len()],
     snapshot: ArcSwap<Snapshot>,
     beliefs: Mutex<Beliefs>,
 }
@@ -132,6 +133,7 @@
             counters: Counters::new(),
             stop: Stop::default(),
             reports: SegQueue::new(),
+            feeds: std::array::from_fn(|_| Feed::default()),
             snapshot: ArcSwap::default(),
             beliefs: Mutex::default(),
         }))
@@ -144,6 +146,11 @@
         self.snapshot.load()
     }
 
+    /// The changes of a topic that this host reads for others.
+    pub fn journal(&self, topic: Topic) -> &Feed {
+        &self.feeds[topic as usize]
+    }
+
     /// Changes what this host believes and puts it into force if `change` says so.
     pub fn update(&self, change: impl FnOnce(&mut Beliefs, Instant) -> bool) {
         let mut beliefs = self.lock();
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -3,7 +3,7 @@
 use oleanderspan::{
     availability,
     backend::{self, listing},
-    entry::{self, membership::jitter, roster::Peer},
+    entry::{self, journal::Entry, membership::jitter, roster::Peer},
     prelude::*,
     route::Table,
     service,
@@ -14,8 +14,8 @@
     clock::Entropy,
     codec,
     gateway::{
-        Source, State, message,
-        source::{Batch, Error, Row, Server, Topic},
+        Source, State, feed, message,
+        source::{Error, Row, Server, Topic},
         state::Beliefs,
     },
 };
@@ -29,13 +29,16 @@
 /// The longest such pause, so that a store that returns is heard of within a second.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// For how long a host reads from the store itself after the one that reads for it failed to answer.
+const OWN_READING: Duration = Duration::from_millis(3_000);
+
 /// How often removed entries are looked at whose grace may have ended.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Follows the operator's routes and evacuations.
 pub async fn operator<S: Source>(state: State, source: S) {
-    follow(&state, &source, Topic::Operator, |state, batch, is_whole| {
-        apply_operator(state, batch, is_whole);
+    follow(&state, &source, Topic::Operator, |state, rows, is_whole| {
+        apply_operator(state, rows, is_whole);
     })
     .await;
 }
@@ -49,8 +52,8 @@
             expire(&expiry);
         }
     };
-    let follow = follow(&state, &source, Topic::Servers, |state, batch, is_whole| {
-        apply_servers(state, batch, is_whole);
+    let follow = follow(&state, &source, Topic::Servers, |state, rows, is_whole| {
+        apply_servers(state, rows, is_whole);
     });
     tokio::join!(follow, expire);
 }
@@ -58,8 +61,8 @@
 /// Lists this host, and follows the others.
 pub async fn hosts<S: Source>(state: State, source: S) {
     let announce = announce(&state, &source);
-    let follow = follow(&state, &source, Topic::Hosts, |state, batch, is_whole| {
-        apply_hosts(state, batch, is_whole);
+    let follow = follow(&state, &source, Topic::Hosts, |state, rows, is_whole| {
+        apply_hosts(state, rows, is_whole);
     });
     tokio::join!(announce, follow);
 }
@@ -69,18 +72,33 @@
     state: &State,
     source: &S,
     topic: Topic,
-    apply: impl Fn(&State, Batch, bool),
+    apply: impl Fn(&State, Vec<Row>, bool),
 ) {
     let mut after = None;
     let mut pause = FIRST_PAUSE;
     let mut away_since = None;
+    let mut own_until = Instant::ZERO;
     loop {
-        let answer = match after {
-            None => source.list(topic).await,
-            Some(version) => source.follow(topic, version, FOLLOW_WAIT).await,
-        };
-        match answer {
-            Ok(batch) => {
+        if let Some(version) = after
+            && away_since.is_none()
+            && let Some(reader) = reader(state, topic, own_until)
+        {
+            state.journal(topic).stop();
+            match handed_on(state, source, topic, version, &reader).await {
+                Ok((version, rows)) => {
+                    after = Some(version);
+                    apply(state, rows, false);
+                }
+                Err(reason) => {
+                    info!(state.log, "reading from the store here"; "topic" => topic.as_str(),
+                        "reader" => %reader.name, "reason" => %reason);
+                    own_until = state.clock.now() + OWN_READING;
+                }
+            }
+            continue;
+        }
+        match read(state, source, topic, after).await {
+            Ok((version, rows)) => {
                 pause = FIRST_PAUSE;
                 if let Some(since) = away_since.take() {
                     let away: Duration = state.clock.now().since(since);
@@ -92,11 +110,11 @@
                     });
                 }
                 let is_whole = after.is_none();
-                after = Some(batch.version);
-                apply(state, batch, is_whole);
-                // Changes come in groups; each group costs every host a call.
-                let hosts = state.beliefs().roster.len() + 1;
-                tokio::time::sleep(topic.gathering(hosts)).await;
+                after = Some(version);
+                apply(state, rows, is_whole);
+                // Changes come in groups; each group costs every host that reads a call.
+                let readers = state.beliefs().roster.readers() + 1;
+                tokio::time::sleep(topic.gathering(readers)).await;
             }
             Err(Error::HistoryLost) => {
                 info!(state.log, "reading a topic whole again"; "topic" => topic.as_str(),
@@ -104,6 +122,7 @@
                 after = None;
             }
             Err(Error::Away(reason)) => {
+                state.journal(topic).stop();
                 if away_since.is_none() {
                     warn!(state.log, "store does not answer"; "topic" => topic.as_str(),
                         "reason" => reason);
@@ -119,9 +138,60 @@
     }
 }
 
-fn apply_operator(state: &State, batch: Batch, is_whole: bool) {
+/// Reads a topic whole, or its changes, and keeps these for the other hosts of the zone.
+async fn read<S: Source>(
+    state: &State,
+    source: &S,
+    topic: Topic,
+    after: Option<u64>,
+) -> Result<(u64, Vec<Row>), Error> {
+    let Some(after) = after else {
+        let pages = source.list(topic).await?;
+        let version = pages.first().map_or(0, |page| page.version);
+        let mut rows = Vec::new();
+        for page in pages {
+            rows.extend(source.decode(topic, &page.bytes)?);
+        }
+        state.journal(topic).restart(version);
+        return Ok((version, rows));
+    };
+    let page = source.follow(topic, after, FOLLOW_WAIT).await?;
+    let rows = source.decode(topic, &page.bytes)?;
+    let version = page.version;
+    state.journal(topic).push(Entry { after, version, page: page.bytes });
+    Ok((version, rows))
+}
+
+/// The host that reads a topic for this one, unless this one reads for itself.
+fn reader(state: &State, topic: Topic, own_until: Instant) -> Option<Peer> {
+    let now = state.clock.now();
+    if now < own_until {
+        return None;
+    }
+    let settings = &state.settings;
+    let beliefs = state.beliefs();
+    beliefs.roster.reader(&settings.host, settings.zone, topic.as_str(), now).cloned()
+}
+
+/// Takes changes from the host that reads them.
+async fn handed_on<S: Source>(
+    state: &State,
+    source: &S,
+    topic: Topic,
+    after: u64,
+    reader: &Peer,
+) -> Result<(u64, Vec<Row>), feed::Error> {
+    let Some(page) = feed::ask(state, reader, topic, after).await? else {
+        return Ok((after, Vec::new()));
+    };
+    let rows = source.decode(topic, &page.bytes);
+    let rows = rows.map_err(|error| feed::Error::Unreadable(error.to_string()))?;
+    Ok((page.version, rows))
+}
+
+fn apply_operator(state: &State, rows: Vec<Row>, is_whole: bool) {
     let mut active = Set::default();
-    for row in batch.rows {
+    for row in rows {
         match row {
             Row::Routes(Ok(raw)) => match Table::try_from(raw) {
                 Ok(table) => put_into_force(state, table),
@@ -185,11 +255,11 @@
     });
 }
 
-fn apply_servers(state: &State, batch: Batch, is_whole: bool) {
+fn apply_servers(state: &State, rows: Vec<Row>, is_whole: bool) {
     state.update(|beliefs, now| {
         let mut listed = Set::default();
         let mut is_news = is_whole;
-        for row in batch.rows {
+        for row in rows {
             match row {
                 Row::Server(name, Some(raw)) => {
                     listed.insert(name.clone());
@@ -298,10 +368,10 @@
     }
 }
 
-fn apply_hosts(state: &State, batch: Batch, is_whole: bool) {
+fn apply_hosts(state: &State, rows: Vec<Row>, is_whole: bool) {
     state.update(|beliefs, _| {
         let mut listed: Set<entry::Name> = Set::default();
-        for row in batch.rows {
+        for row in rows {
             match row {
                 Row::Host(name, _) if name == state.settings.host => {}
                 Row::Host(name, None) => {
@@ -310,15 +380,18 @@
                 Row::Host(name, Some(value)) => match decode(&value) {
                     Ok(host) => {
                         listed.insert(name.clone());
-                        let region = state.settings.atlas.find(&host.zone).map(|found| found.1);
-                        let peer = Peer { name, callers: host.callers, address: host.peers };
-                        match region {
-                            Some(region) if region == state.settings.region => {
+                        let Some((zone, region)) = state.settings.atlas.find(&host.zone) else {
+                            warn!(state.log, "listed host in an unknown zone"; "host" => %name,
+                                "zone" => host.zone);
+                            continue;
+                        };
+                        let (callers, address) = (host.callers, host.peers);
+                        let peer = Peer { name, callers, address, zone };
+                        match region == state.settings.region {
+                            true => {
                                 beliefs.roster.list(peer);
                             }
-                            Some(region) => beliefs.roster.list_distant(peer, region),
-                            None => warn!(state.log, "listed host in an unknown zone";
-                                "host" => %peer.name, "zone" => host.zone),
+                            false => beliefs.roster.list_distant(peer, region),
                         }
                     }
                     Err(reason) => {
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -111,11 +111,21 @@
         request: Request<Body>,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), Error> {
+        let (head, body) = self.call_with_head(request, limit).await?;
+        Ok((head.status, body))
+    }
+
+    /// Sends a request and reads the whole answer with its headers within `limit`.
+    pub async fn call_with_head(
+        &self,
+        request: Request<Body>,
+        limit: Duration,
+    ) -> Result<(response::Parts, Bytes), Error> {
         let whole = async {
             let (head, body) = self.send(request).await?.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|error| Error::Broken(error.to_string()))?;
-            Ok((head.status, body.to_bytes()))
+            Ok((head, body.to_bytes()))
         };
         tokio::time::timeout(limit, whole).await.unwrap_or(Err(Error::TimedOut))
     }
--- a/crates/node/src/http/header.rs
+++ b/crates/node/src/http/header.rs
@@ -35,6 +35,8 @@
 /// On the answer to a question for a slot: how many other objects the server was sent requests for
 /// since the last one for the object of this request.
 pub const RECALL: HeaderName = HeaderName::from_static("oleanderspan-recall");
+/// On changes of the platform's store that one host hands on to another: the store's version.
+pub const VERSION: HeaderName = HeaderName::from_static("oleanderspan-version");
 /// On a refusal between hosts: when to come back, in milliseconds.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("oleanderspan-retry-after-ms");
 
--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -1,12 +1,14 @@
 //! Entry hosts: who they are, which of them callers should use, and which of them dispatches.
 
 pub mod host;
+pub mod journal;
 pub mod locate;
 pub mod membership;
 pub mod rank;
 pub mod roster;
 
 pub use host::Host;
+pub use journal::Journal;
 pub use locate::{Answer, Directory, Policy};
 pub use membership::{Member, Membership};
 pub use roster::Roster;
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -3,7 +3,12 @@
 //! The platform's store tells who exists; whether one lives is told by its answers alone, so that
 //! a host that is dead, frozen or cut off is no longer named to clients after a short while.
 
-use crate::{entry, prelude::*, region};
+use crate::{
+    availability,
+    entry::{self, rank},
+    prelude::*,
+    region,
+};
 
 /// How long a host is believed to live after its last answer: three missed questions.
 pub const SILENCE: Duration = Duration::from_millis(1_600);
@@ -20,6 +25,8 @@
     pub callers: SocketAddr,
     /// Where other hosts reach it.
     pub address: SocketAddr,
+    /// Its zone.
+    pub zone: availability::Index,
 }
 
 #[derive(Debug)]
@@ -41,6 +48,10 @@
     failed_at: Option<Instant>,
 }
 
+/// The fewest hosts of a zone that have one of them read from the store for all: fewer save too
+/// few calls to depend on another host.
+const LEAST_READERS: usize = 4;
+
 /// The other hosts, those of the own region and those of others.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -97,6 +108,36 @@
         self.len() == 0
     }
 
+    /// The host that reads `topic` from the store for all hosts of a zone; none if `own`, which is
+    /// one of them, should read for itself.
+    pub fn reader(
+        &self,
+        own: &entry::Name,
+        zone: availability::Index,
+        topic: &str,
+        now: Instant,
+    ) -> Option<&Peer> {
+        let seen = self.seen.values().filter(|seen| is_live(seen, now) && !seen.is_leaving);
+        let near = seen.map(|seen| &seen.peer).filter(|peer| peer.zone == zone);
+        let near: Vec<&Peer> = near.collect();
+        if near.len() + 1 < LEAST_READERS {
+            return None;
+        }
+        let first = rank::first(near, topic, |peer| peer.name.as_str())?;
+        let weight = |host: &entry::Name| rank::weight(topic, host.as_str());
+        (weight(&first.name) > weight(own)).then_some(first)
+    }
+
+    /// How many hosts read from the store, if all hear of each other.
+    pub fn readers(&self) -> usize {
+        let peers = self.seen.values().map(|seen| &seen.peer);
+        let mut hosts: Map<availability::Index, usize> = Map::default();
+        for peer in peers.chain(self.distant.values().map(|distant| &distant.peer)) {
+            *hosts.entry(peer.zone).or_default() += 1;
+        }
+        hosts.values().map(|hosts| if *hosts < LEAST_READERS { *hosts } else { 1 }).sum()
+    }
+
     /// The names of all listed hosts.
     pub fn names(&self) -> impl Iterator<Item = &entry::Name> {
         self.seen.keys().chain(self.distant.keys())
--- a/crates/oleanderspan/tests/roster.rs
+++ b/crates/oleanderspan/tests/roster.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 
 use oleanderspan::{
+    availability,
     entry::{
         Name, Roster,
         roster::{Peer, SILENCE},
@@ -19,6 +20,7 @@
 
 fn peer(name: &str, port: u16) -> Peer {
     Peer {
+        zone: availability::Index(0),
         name: Name::try_from(name).unwrap(),
         callers: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, port + 1)),
@@ -79,3 +81,52 @@
     assert!(roster.unlist(&far.name));
     assert!(roster.is_empty());
 }
+
+/// Of the hosts of a zone that hear of each other just one reads from the store.
+#[test]
+fn one_host_of_a_zone_reads_for_the_others() {
+    let now = at(0);
+    let names = ["a", "b", "c", "d"];
+    let readers = |names: &[&str]| {
+        let mut readers = Vec::new();
+        for own in names {
+            let mut roster = Roster::default();
+            for (port, other) in (1..).zip(names.iter().filter(|other| *other != own)) {
+                let other = peer(other, port);
+                roster.list(other.clone());
+                roster.answered(&other.name, false, now);
+            }
+            let own = Name::try_from(*own).unwrap();
+            let reader = roster.reader(&own, availability::Index(0), "t", now);
+            readers.push(reader.map_or(own.clone(), |peer| peer.name.clone()));
+            let distant = availability::Index(1);
+            assert_eq!(roster.reader(&own, distant, "t", now), None, "the zone has no other host");
+        }
+        readers
+    };
+    let four = readers(&names);
+    assert!(four.iter().all(|reader| *reader == four[0]), "{four:?}");
+    let three = readers(&names[..3]);
+    assert_eq!(three.len(), 3);
+    assert!(three.iter().zip(names).all(|(reader, own)| reader.as_str() == own), "{three:?}");
+}
+
+/// Who reads for others but falls silent is no longer asked.
+#[test]
+fn a_silent_reader_is_passed_over() {
+    let mut roster = Roster::default();
+    for (port, name) in (1..).zip(["b", "c", "d", "e", "f"]) {
+        let peer = peer(name, port);
+        roster.list(peer.clone());
+        roster.answered(&peer.name, false, at(0));
+    }
+    let own = Name::try_from("a").unwrap();
+    let zone = availability::Index(0);
+    let topic = (0..).map(|i| format!("topic-{i}"));
+    let topic = topic.take(100).find(|topic| roster.reader(&own, zone, topic, at(0)).is_some());
+    let topic = topic.unwrap();
+    let first = roster.reader(&own, zone, &topic, at(0)).unwrap().name.clone();
+    roster.failed(&first);
+    let next = roster.reader(&own, zone, &topic, at(0)).map(|peer| peer.name.clone());
+    assert_ne!(next, Some(first));
+}
