Let late requests wait for known servers too, and spare a slot for known objects

New objects were packed onto servers up to the last slot. Ruled out by lines of each choice: servers taken for slow or suspect (none), too small a depth (9 was learned, 8 is right), two hosts that give out slots (one a region all the time).

Change: the wait for a server that knows the object is bounded by the gain alone, also for late requests, which go behind those in time; new objects leave the last slot free.

--- a/crates/node/src/entry/slot.rs
+++ b/crates/node/src/entry/slot.rs
@@ -94,12 +94,12 @@
     pool: &Arc<Pool<Ticket>>,
     clock: Monotonic,
     server: &Arc<Server>,
-    wish: Wish,
+    rank: Rank,
     limit: Duration,
 ) -> Option<Lease> {
     let (signal, granted) = oneshot::channel();
     let ticket = Ticket { pool: Arc::clone(pool), clock, signal };
-    pool.enqueue_behind(ticket, server, wish, limit, clock.now());
+    pool.enqueue_behind(ticket, server, rank, limit, clock.now());
     tokio::time::timeout(limit, granted).await.ok()?.ok()
 }
 
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -3,7 +3,7 @@
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use oleanderspan::{
-    backend::{self, Object, Server, pool::Wish},
+    backend::{self, Object, Recall, Server, pool::Wish},
     prelude::*,
     request::{Outcome, Refusal, Repeat, admission::Time, retry::Deadline},
     route::Route,
@@ -187,7 +187,9 @@
             grant::report(state, &want, &grant, Some(latency));
             debug!(state.log, "answered"; "request" => call.id, "service" => %call.service,
                 "server" => %server.identity.name, "status" => head.status.as_u16(),
-                "object" => call.object.map(Object::hash), "latency_ms" => latency.as_millis());
+                "object" => call.object.map(Object::hash),
+                "recall" => grant.recall().map(Recall::number),
+                "latency_ms" => latency.as_millis());
             let is_failure = head.status.is_server_error();
             let refusal = match head.status {
                 StatusCode::GATEWAY_TIMEOUT => Refusal::TimedOut,
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -7,7 +7,7 @@
     availability::Atlas,
     backend::{
         self, Object, Pool, Recall, Server,
-        pool::{Placement, Wish},
+        pool::{Placement, Rank, Wish},
         server::Identity,
     },
     entry::roster::Peer,
@@ -74,7 +74,8 @@
         }
     }
 
-    fn recall(&self) -> Option<Recall> {
+    /// How well the server knows the object of the request, if it is about one.
+    pub fn recall(&self) -> Option<Recall> {
         match self {
             Grant::Own(given) => given.recall,
             Grant::Foreign { recall, .. } => *recall,
@@ -177,7 +178,7 @@
     wish: Wish,
 ) -> Result<Given, Refused> {
     let object = wish.object;
-    let lease = match near(pool, clock, time, &wish).await {
+    let lease = match near(pool, clock, priority, time, &wish).await {
         Ok(lease) => lease,
         Err(time) => match slot::try_acquire(pool, clock, &wish) {
             Some(lease) => lease,
@@ -196,18 +197,22 @@
 async fn near(
     pool: &Arc<Pool<Ticket>>,
     clock: Monotonic,
+    priority: u8,
     time: Time,
     wish: &Wish,
 ) -> Result<Lease, Time> {
     let latencies = pool.warmth().latencies();
     let patience = latencies
         .map_or(Duration::ZERO, |(known, unknown)| admission::patience(time, known, unknown));
+    // What counts is whether it would be in time on a server that knows its object.
+    let is_late = latencies.is_some_and(|(known, _)| time.objective < known);
+    let rank = Rank::new(priority, is_late);
     let began = clock.now();
-    match pool.place(wish, patience, began) {
+    match pool.place(wish, rank, patience, began) {
         Placement::Taken(server) => Ok(slot::lease(pool, clock, server)),
         Placement::Anywhere => Err(time),
         Placement::Behind(server) => {
-            let lease = slot::wait_behind(pool, clock, &server, wish.clone(), patience).await;
+            let lease = slot::wait_behind(pool, clock, &server, rank, patience).await;
             let spent = clock.now().since(began);
             lease.ok_or(Time {
                 objective: time.objective.saturating_sub(spent),
--- a/crates/node/src/gateway/lending.rs
+++ b/crates/node/src/gateway/lending.rs
@@ -79,6 +79,16 @@
                 continue;
             }
             adjust(&state, &snapshot, service);
+            if let Some(pool) = snapshot.pool(service, state.settings.region) {
+                let latencies = pool.warmth().latencies();
+                debug!(state.log, "objects"; "service" => %service,
+                    "depth" => pool.warmth().depth(),
+                    "known_ms" => latencies.map(|(known, _)| known.as_millis()),
+                    "unknown_ms" => latencies.map(|(_, unknown)| unknown.as_millis()),
+                    "typical_ms" => pool.typical_latency().as_millis(),
+                    "mean_ms" => pool.mean_latency().as_millis(), "queued" => pool.queued(),
+                    "servers" => pool.servers().len());
+            }
             for (region, _) in state.settings.atlas.regions() {
                 if region != state.settings.region {
                     tokio::spawn(talk(state.clone(), service.clone(), region));
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -71,6 +71,9 @@
     /// Whether the queue has been hopeless since it was last empty.
     overloaded: AtomicBool,
     turn: AtomicU32,
+    /// Counts slots that were given back. It is not `turn`: two steps for each request would begin
+    /// every choice between two servers with the same one.
+    returned: AtomicU32,
     /// Those who wait for one server each.
     in_lanes: AtomicU32,
     warmth: Warmth,
@@ -117,6 +120,7 @@
             overload,
             overloaded: AtomicBool::new(false),
             turn: AtomicU32::new(0),
+            returned: AtomicU32::new(0),
             in_lanes: AtomicU32::new(0),
             warmth: Warmth::new(),
             typical_nanos: AtomicU64::new(0),
@@ -436,7 +440,9 @@
             let is_near = (!server.is_borrowed(), !server.is_shared());
             let speed = (!server.is_suspect(), self.is_quick(server));
             let room = if object.is_some() { self.room(server, now) } else { 0 };
-            (speed, is_known, is_near, room, affinity(server), server.free())
+            // The last free slot is left to requests for objects that the server knows.
+            let is_last = object.is_some() && server.free() == 1;
+            (speed, is_known, is_near, !is_last, room, affinity(server), server.free())
         })
     }
 
--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -26,11 +26,32 @@
 
 /// Those who wait for one server.
 #[derive(Debug)]
-pub(super) struct Lane<W>(SegQueue<Place<W>>);
+pub(super) struct Lane<W> {
+    in_time: SegQueue<Place<W>>,
+    /// They go behind all others.
+    late: SegQueue<Place<W>>,
+}
 
 impl<W> Lane<W> {
     pub(super) fn new() -> Lane<W> {
-        Lane(SegQueue::new())
+        Lane { in_time: SegQueue::new(), late: SegQueue::new() }
+    }
+
+    fn queue(&self, rank: Rank) -> &SegQueue<Place<W>> {
+        if rank.is_late() { &self.late } else { &self.in_time }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.in_time.is_empty() && self.late.is_empty()
+    }
+
+    /// Those who would be served before one of `rank`.
+    fn ahead_of(&self, rank: Rank) -> usize {
+        self.in_time.len() + if rank.is_late() { self.late.len() } else { 0 }
+    }
+
+    fn pop(&self) -> Option<Place<W>> {
+        self.in_time.pop().or_else(|| self.late.pop())
     }
 }
 
@@ -48,17 +69,18 @@
 impl<W: Waiter> Pool<W> {
     /// Finds the server that suits the object of a request best, if it is worth to wait for it:
     /// no longer than `patience`.
-    pub fn place(&self, wish: &Wish, patience: Duration, now: Instant) -> Placement {
+    pub fn place(&self, wish: &Wish, rank: Rank, patience: Duration, now: Instant) -> Placement {
         let Some(object) = wish.object else { return Placement::Anywhere };
         let members = self.members.load();
         let known = || members.iter().filter(|(server, _)| self.suits(server, object, wish, now));
-        let free = known().filter(|(server, lane)| server.free() > 0 && lane.0.is_empty());
+        let free = known().filter(|(server, lane)| server.free() > 0 && lane.is_empty());
         if let Some((server, _)) = free.max_by_key(|(server, _)| server.free())
             && self.try_take(server, now)
         {
             return Placement::Taken(Arc::clone(server));
         }
-        let least = known().map(|(server, lane)| (self.expected_wait(server, lane), server));
+        let least =
+            known().map(|(server, lane)| (self.expected_wait(server, lane.ahead_of(rank)), server));
         match least.min_by_key(|(wait, _)| *wait) {
             Some((wait, server)) if wait <= patience => Placement::Behind(Arc::clone(server)),
             _ => Placement::Anywhere,
@@ -70,15 +92,15 @@
         &self,
         waiter: W,
         server: &Arc<Server>,
-        wish: Wish,
+        rank: Rank,
         limit: Duration,
         now: Instant,
     ) {
         let members = self.members.load();
-        let place = Place { waiter, rank: Rank::default(), wish, since: now, limit };
+        let place = Place { waiter, rank, wish: Wish::default(), since: now, limit };
         match members.lane_of(server) {
             Some(lane) => {
-                lane.0.push(place);
+                lane.queue(rank).push(place);
                 self.in_lanes.fetch_add(1, Ordering::SeqCst);
                 self.serve_lane(server, lane, now);
             }
@@ -95,14 +117,14 @@
             && takes_requests(server, now)
     }
 
-    fn expected_wait(&self, server: &Server, lane: &Lane<W>) -> Duration {
-        let ahead = u32::try_from(lane.0.len()).unwrap_or(u32::MAX).saturating_add(1);
+    fn expected_wait(&self, server: &Server, ahead: usize) -> Duration {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX).saturating_add(1);
         self.mean_latency().saturating_mul(ahead) / server.own_slots().max(1)
     }
 
     /// Hands free slots of a server to those who wait for it.
     pub(super) fn serve_lane(&self, server: &Arc<Server>, lane: &Lane<W>, now: Instant) {
-        while !lane.0.is_empty() && self.try_take(server, now) {
+        while !lane.is_empty() && self.try_take(server, now) {
             let granted = match self.pop_lane(lane, now) {
                 Some(place) => place.waiter.grant(Arc::clone(server)),
                 None => Err(Arc::clone(server)),
@@ -137,12 +159,12 @@
 
     /// Whether a slot that was given back goes to the common queue first.
     pub(super) fn is_common_turn(&self) -> bool {
-        self.turn.fetch_add(1, Ordering::Relaxed).is_multiple_of(COMMON_TURN)
+        self.returned.fetch_add(1, Ordering::Relaxed).is_multiple_of(COMMON_TURN)
     }
 
     fn pop_lane(&self, lane: &Lane<W>, now: Instant) -> Option<Place<W>> {
         loop {
-            let place = lane.0.pop()?;
+            let place = lane.pop()?;
             self.in_lanes.fetch_sub(1, Ordering::SeqCst);
             if !place.is_older(100, now) {
                 return Some(place);
@@ -159,7 +181,7 @@
             if stays && !server.is_leaving() && !server.is_barred() {
                 continue;
             }
-            while let Some(place) = lane.0.pop() {
+            while let Some(place) = lane.pop() {
                 self.in_lanes.fetch_sub(1, Ordering::SeqCst);
                 place.waiter.refuse();
             }
--- a/crates/oleanderspan/src/backend/pool/waiting.rs
+++ b/crates/oleanderspan/src/backend/pool/waiting.rs
@@ -38,6 +38,11 @@
         let rank = if is_late { PRIORITIES + priority } else { priority };
         Rank(u8::try_from(rank).unwrap_or(u8::MAX))
     }
+
+    /// Whether the request can no longer be served within its objective.
+    pub(super) fn is_late(self) -> bool {
+        usize::from(self.0) >= PRIORITIES
+    }
 }
 
 /// What a request wants of its server.
--- a/crates/oleanderspan/src/request/admission.rs
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -90,14 +90,13 @@
 }
 
 /// How long a request may wait for a server that knows its object, where it takes `known`, instead
-/// of going to any other, where it takes `unknown`: no longer than it gains, and only while an
-/// answer of that server would be in time.
+/// of going to any other, where it takes `unknown`: no longer than it gains.
+///
+/// That holds for a late request too: it is answered no later than elsewhere, and spares the others
+/// a slot that is taken several times as long. Otherwise one wave of load leaves all slots with
+/// slow runs for long after.
 pub fn patience(time: Time, known: Duration, unknown: Duration) -> Duration {
-    let spare = match time.objective.checked_sub(known) {
-        Some(spare) => spare.min(time.deadline.saturating_sub(known)),
-        None => time.deadline.saturating_sub(known) * LATE_WAIT_PERCENT / 100,
-    };
-    spare.min(unknown.saturating_sub(known))
+    time.deadline.saturating_sub(known).min(unknown.saturating_sub(known))
 }
 
 /// Whether a request can still be answered within its objective if it is started now.
--- a/crates/oleanderspan/tests/pool.rs
+++ b/crates/oleanderspan/tests/pool.rs
@@ -93,3 +93,18 @@
     let chosen: Vec<u16> = (0..4).map(|_| pool.try_acquire().unwrap().address.port()).collect();
     assert_eq!(chosen, [2, 2, 1, 1]);
 }
+
+/// Two servers that are alike take turns, also while each slot is back before the next request.
+#[test]
+fn equal_servers_take_turns() {
+    let servers = [server(1, 4), server(2, 4)];
+    let pool: Pool<Ticket> = Pool::new();
+    pool.update(servers.to_vec(), u32::MAX);
+    let mut taken = [0, 0];
+    for _ in 0..20 {
+        let chosen = pool.try_acquire().unwrap();
+        taken[usize::from(chosen.identity == servers[1].identity)] += 1;
+        pool.release(&chosen, Instant::ZERO);
+    }
+    assert_eq!(taken, [10, 10]);
+}
