--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -20,7 +20,8 @@
         State, feed,
         grant::{self, Given, Refused},
         lending,
-        message::{ASK_PATH, Ask, FOLLOW_PATH, LOAN_PATH, PING_PATH, Ping, Report},
+        message::{ASK_PATH, Ask, FOLLOW_PATH, LOAN_PATH, PING_PATH, Ping, Report, Seen},
+        peers,
     },
     http::{Body, server::Handler},
 };
@@ -168,10 +169,11 @@
         if let Ok(name) = entry::Name::try_from(ping.host.as_str()) {
             state.update(|beliefs, now| beliefs.roster.answered(&name, ping.is_leaving, now));
         }
-        let own = Ping {
-            host: state.settings.host.to_string(),
-            is_leaving: state.stop.has_begun() || !state.snapshot().is_ready(),
+        let sightings = {
+            let beliefs = state.beliefs();
+            beliefs.roster.sightings(state.settings.zone, state.clock.now())
         };
+        let own = peers::own(state, sightings.iter().map(Seen::from).collect());
         match codec::to_wire(&own) {
             Ok(body) => Response::new(Body::from(Bytes::from(body))),
             Err(error) => {
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -153,7 +153,7 @@
             Err(Failure::NoAnswer(reason)) => {
                 warn!(state.log, "no answer for a slot"; "request" => want.id,
                     "host" => %peer.name, "reason" => reason);
-                state.update(|beliefs, _| beliefs.roster.failed(&peer.name));
+                state.update(|beliefs, now| beliefs.roster.failed(&peer.name, now));
             }
         }
     }
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use oleanderspan::prelude::*;
+use oleanderspan::{
+    entry::{self, roster::Sighting},
+    name,
+    prelude::*,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -85,6 +89,37 @@
     pub host: String,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// What it has seen of the other hosts of its zone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seen: Vec<Seen>,
+}
+
+/// What one host has seen of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Seen {
+    /// The host.
+    pub host: String,
+    /// How long ago it answered, in milliseconds.
+    pub age_ms: u32,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
+
+impl TryFrom<&Seen> for Sighting {
+    type Error = name::Error;
+
+    fn try_from(seen: &Seen) -> Result<Sighting, name::Error> {
+        let name = entry::Name::try_from(seen.host.as_str())?;
+        let age = Duration::from_millis(seen.age_ms.into());
+        Ok(Sighting { name, age, is_leaving: seen.is_leaving })
+    }
+}
+
+impl From<&Sighting> for Seen {
+    fn from(sighting: &Sighting) -> Seen {
+        let age_ms = u32::try_from(sighting.age.as_millis()).unwrap_or(u32::MAX);
+        Seen { host: sighting.name.to_string(), age_ms, is_leaving: sighting.is_leaving }
+    }
 }
 
 /// Where hosts that give out slots in different regions settle loans.
--- a/crates/node/src/gateway/peers.rs
+++ b/crates/node/src/gateway/peers.rs
@@ -2,7 +2,7 @@
 
 use http::StatusCode;
 use oleanderspan::{
-    entry::roster::{self, Peer},
+    entry::roster::{self, Peer, Sighting},
     prelude::*,
 };
 use slog::{info, warn};
@@ -11,7 +11,8 @@
     codec,
     gateway::{
         State,
-        message::{self, PING_PATH, Ping},
+        message::{self, PING_PATH, Ping, Seen},
+        state::Shared,
     },
     http::{client, server},
 };
@@ -36,12 +37,16 @@
     server::Options { ping_interval: PEER_SILENCE, ..server::Options::default() }
 }
 
-/// Asks every listed host in each round, and looks at who has fallen silent.
+/// Asks other hosts in each round, and looks at who has fallen silent.
 pub async fn run(state: State) {
     let mut before: Vec<Peer> = Vec::new();
-    loop {
+    for round in 0.. {
         tokio::time::sleep(roster::INTERVAL).await;
-        let peers: Vec<Peer> = state.beliefs().roster.listed().cloned().collect();
+        let zone = state.settings.zone;
+        let peers: Vec<Peer> = {
+            let beliefs = state.beliefs();
+            beliefs.roster.targets(zone, round).into_iter().cloned().collect()
+        };
         for peer in peers {
             tokio::spawn(ask(state.clone(), peer));
         }
@@ -60,11 +65,17 @@
     }
 }
 
-async fn ask(state: State, peer: Peer) {
-    let own = Ping {
+/// What this host says of itself, and of others that it has seen.
+pub fn own(state: &Shared, seen: Vec<Seen>) -> Ping {
+    Ping {
         host: state.settings.host.to_string(),
         is_leaving: state.stop.has_begun() || !state.snapshot().is_ready(),
-    };
+        seen,
+    }
+}
+
+async fn ask(state: State, peer: Peer) {
+    let own = own(&state, Vec::new());
     match message::post(&state.peers, peer.address, PING_PATH, &own, PING_LIMIT).await {
         Ok((StatusCode::OK, body)) => {
             let answer: Result<Ping, codec::Error> = codec::from_wire(&body);
@@ -76,8 +87,18 @@
             if let Ok(answer) = answer.as_ref()
                 && answer.host == peer.name.as_str()
             {
-                let is_leaving = answer.is_leaving;
-                state.update(|beliefs, now| beliefs.roster.answered(&peer.name, is_leaving, now));
+                state.update(|beliefs, now| {
+                    let roster = &mut beliefs.roster;
+                    let mut is_news = roster.answered(&peer.name, answer.is_leaving, now);
+                    for seen in &answer.seen {
+                        match Sighting::try_from(seen) {
+                            Ok(sighting) => is_news |= roster.told(&sighting, now),
+                            Err(error) => info!(state.log, "host told of has no valid name";
+                                "host" => %peer.name, "reason" => %error),
+                        }
+                    }
+                    is_news
+                });
             }
         }
         Ok((status, _)) => {
@@ -90,7 +111,7 @@
                 info!(state.log, "host refuses connections"; "host" => %peer.name,
                     "reason" => reason);
             }
-            state.update(|beliefs, _| beliefs.roster.failed(&peer.name));
+            state.update(|beliefs, now| beliefs.roster.failed(&peer.name, now));
         }
         Err(message::Error::Call(_)) => {}
         Err(error @ message::Error::Encode(_)) => {
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -2,6 +2,10 @@
 //!
 //! The platform's store tells who exists; whether one lives is told by its answers alone, so that
 //! a host that is dead, frozen or cut off is no longer named to clients after a short while.
+//!
+//! In a small region each host asks all others. In a large one it asks those of its zone, and one
+//! of each other zone, which passes on whose answers it has; questions then grow with the hosts of
+//! a zone and not with those of the region.
 
 use crate::{
     availability,
@@ -13,6 +17,13 @@
 /// How long a host is believed to live after its last answer: three missed questions.
 pub const SILENCE: Duration = Duration::from_millis(1_600);
 
+/// How long a host is believed to live after its last answer to a host of its zone: the news of it
+/// takes two more rounds.
+pub const FAR_SILENCE: Duration = Duration::from_millis(2_600);
+
+/// The most hosts of a region that all ask each other.
+const SMALL_REGION: usize = 8;
+
 /// How often each host is asked.
 pub const INTERVAL: Duration = Duration::from_millis(500);
 
@@ -32,11 +43,26 @@
 #[derive(Debug)]
 struct Seen {
     peer: Peer,
-    /// Its last answer; none since it was listed or failed.
+    /// Its last answer, to this host or to one of its zone; none since it was listed or failed.
     answered_at: Option<Instant>,
+    /// Whether that answer came to this host.
+    is_direct: bool,
+    /// When it last refused a connection of this host or broke one.
+    failed_at: Option<Instant>,
     is_leaving: bool,
 }
 
+/// What one host tells another of a third one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// The host.
+    pub name: entry::Name,
+    /// How long ago it answered.
+    pub age: Duration,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
+
 /// For how long a host of another region that failed to answer is not asked again.
 const DISTANT_PAUSE: Duration = Duration::from_millis(3_000);
 
@@ -67,7 +93,9 @@
             return false;
         }
         let name = peer.name.clone();
-        self.seen.insert(name, Seen { peer, answered_at: None, is_leaving: false });
+        let seen =
+            Seen { peer, answered_at: None, is_direct: false, failed_at: None, is_leaving: false };
+        self.seen.insert(name, seen);
         true
     }
 
@@ -143,9 +171,53 @@
         self.seen.keys().chain(self.distant.keys())
     }
 
-    /// The listed hosts of the own region.
-    pub fn listed(&self) -> impl Iterator<Item = &Peer> {
-        self.seen.values().map(|seen| &seen.peer)
+    /// The hosts to ask in a round: all of a small region, else those of the own zone and one of
+    /// each other zone, in turn.
+    pub fn targets(&self, zone: availability::Index, round: usize) -> Vec<&Peer> {
+        let peers = self.seen.values().map(|seen| &seen.peer);
+        if self.seen.len() < SMALL_REGION {
+            return peers.collect();
+        }
+        let mut by_zone: std::collections::BTreeMap<availability::Index, Vec<&Peer>> =
+            Default::default();
+        peers.for_each(|peer| by_zone.entry(peer.zone).or_default().push(peer));
+        let mut targets = by_zone.remove(&zone).unwrap_or_default();
+        for mut others in by_zone.into_values() {
+            others.sort_by(|a, b| a.name.cmp(&b.name));
+            targets.extend(others.get(round % others.len()));
+        }
+        targets
+    }
+
+    /// What this host has seen itself of the others of a zone, to pass it on.
+    pub fn sightings(&self, zone: availability::Index, now: Instant) -> Vec<Sighting> {
+        if self.seen.len() < SMALL_REGION {
+            return Vec::new();
+        }
+        let own = self.seen.values().filter(|seen| seen.is_direct && seen.peer.zone == zone);
+        let sighting = |seen: &Seen| {
+            let age = now.since(seen.answered_at?);
+            let (name, is_leaving) = (seen.peer.name.clone(), seen.is_leaving);
+            (age <= SILENCE).then_some(Sighting { name, age, is_leaving })
+        };
+        own.filter_map(sighting).collect()
+    }
+
+    /// Takes what another host has seen; returns whether a host became live or began to leave.
+    ///
+    /// Answers to this host count for more: news of others only replace older ones.
+    pub fn told(&mut self, sighting: &Sighting, now: Instant) -> bool {
+        let Some(seen) = self.seen.get_mut(&sighting.name) else { return false };
+        let at = now - sighting.age;
+        // What this host found out by itself after that sighting counts for more.
+        if seen.answered_at.max(seen.failed_at).is_some_and(|known| known >= at) {
+            return false;
+        }
+        let was_live = is_live(seen, now);
+        let was_leaving = std::mem::replace(&mut seen.is_leaving, sighting.is_leaving);
+        seen.answered_at = Some(at);
+        seen.is_direct = false;
+        was_live != is_live(seen, now) || was_leaving != sighting.is_leaving
     }
 
     /// Takes an answer of a host; returns whether it became live or began to leave.
@@ -154,13 +226,17 @@
         let was_live = is_live(seen, now);
         let was_leaving = std::mem::replace(&mut seen.is_leaving, is_leaving);
         seen.answered_at = Some(now);
+        seen.is_direct = true;
         !was_live || was_leaving != is_leaving
     }
 
     /// Takes note that a host refused a connection or broke one.
-    pub fn failed(&mut self, name: &entry::Name) -> bool {
+    pub fn failed(&mut self, name: &entry::Name, now: Instant) -> bool {
         match self.seen.get_mut(name) {
-            Some(seen) => seen.answered_at.take().is_some(),
+            Some(seen) => {
+                seen.failed_at = Some(now);
+                seen.answered_at.take().is_some()
+            }
             None => false,
         }
     }
@@ -175,5 +251,6 @@
 }
 
 fn is_live(seen: &Seen, now: Instant) -> bool {
-    seen.answered_at.is_some_and(|answered| now.since(answered) <= SILENCE)
+    let silence = if seen.is_direct { SILENCE } else { FAR_SILENCE };
+    seen.answered_at.is_some_and(|answered| now.since(answered) <= silence)
 }
--- a/crates/oleanderspan/tests/roster.rs
+++ b/crates/oleanderspan/tests/roster.rs
@@ -8,7 +8,7 @@
     availability,
     entry::{
         Name, Roster,
-        roster::{Peer, SILENCE},
+        roster::{Peer, SILENCE, Sighting},
     },
     prelude::*,
     region,
@@ -54,7 +54,7 @@
     assert!(roster.answered(&a.name, true, at(1)), "that it leaves is news");
     assert!(live(&roster, 1).is_empty());
     roster.answered(&a.name, false, at(2));
-    assert!(roster.failed(&a.name));
+    assert!(roster.failed(&a.name, at(0)));
     assert!(live(&roster, 2).is_empty());
 }
 
@@ -126,7 +126,77 @@
     let topic = topic.take(100).find(|topic| roster.reader(&own, zone, topic, at(0)).is_some());
     let topic = topic.unwrap();
     let first = roster.reader(&own, zone, &topic, at(0)).unwrap().name.clone();
-    roster.failed(&first);
+    roster.failed(&first, at(0));
     let next = roster.reader(&own, zone, &topic, at(0)).map(|peer| peer.name.clone());
     assert_ne!(next, Some(first));
 }
+
+fn region(hosts_by_zone: &[&[&str]]) -> Roster {
+    let mut roster = Roster::default();
+    for (zone, hosts) in (0..).zip(hosts_by_zone) {
+        for host in *hosts {
+            roster.list(Peer { zone: availability::Index(zone), ..peer(host, 1) });
+        }
+    }
+    roster
+}
+
+/// The load: questions of all hosts of a region to all others grow with the square of the hosts.
+#[test]
+fn in_a_large_region_one_host_of_each_other_zone_is_asked() {
+    let own = availability::Index(0);
+    let large = region(&[&["a", "b", "c"], &["d", "e", "f"], &["g", "h", "i"]]);
+    let asked = |round| -> Vec<String> {
+        large.targets(own, round).iter().map(|peer| peer.name.to_string()).collect()
+    };
+    let mut others = Set::default();
+    for round in 0..3 {
+        let mut asked = asked(round);
+        assert_eq!(asked.len(), 5, "{asked:?}");
+        asked.retain(|name| !["a", "b", "c"].contains(&name.as_str()));
+        others.extend(asked);
+    }
+    assert_eq!(others.len(), 6, "each of the others in its turn");
+    let small = region(&[&["a"], &["d", "e"], &["g", "h"]]);
+    assert_eq!(small.targets(own, 0).len(), 5);
+    assert!(small.sightings(own, at(0)).is_empty(), "all ask for themselves");
+}
+
+#[test]
+fn what_others_have_seen_counts_by_its_age() {
+    let mut roster = region(&[&["a", "b", "c"], &["d", "e", "f"], &["g", "h", "i"]]);
+    let name = Name::try_from("e").unwrap();
+    let sighting = |millis| Sighting {
+        name: name.clone(),
+        age: Duration::from_millis(millis),
+        is_leaving: false,
+    };
+    assert!(roster.told(&sighting(400), at(10_000)));
+    assert_eq!(live(&roster, 10_000), ["e"]);
+    assert!(!roster.told(&sighting(2_000), at(10_500)), "older than what is known");
+    assert!(live(&roster, 12_300).is_empty());
+    // It answers this host and is silent from then on; others pass on what they saw before.
+    roster.answered(&name, false, at(13_000));
+    assert!(!roster.told(&sighting(300), at(13_100)));
+    assert!(live(&roster, 14_700).is_empty());
+    assert!(!roster.told(&sighting(3_500), at(16_500)), "it fell silent there as well");
+    // A refused connection outweighs what was seen before it.
+    roster.failed(&name, at(20_000));
+    assert!(!roster.told(&sighting(400), at(20_200)));
+    assert!(roster.told(&sighting(100), at(20_200)));
+}
+
+#[test]
+fn only_own_sightings_of_the_zone_are_passed_on() {
+    let mut roster = region(&[&["a", "b", "c"], &["d", "e", "f"], &["g", "h", "i"]]);
+    let now = at(5_000);
+    let name = |name: &str| Name::try_from(name).unwrap();
+    roster.answered(&name("a"), false, now);
+    roster.answered(&name("d"), false, now);
+    let age = Duration::from_millis(100);
+    roster.told(&Sighting { name: name("b"), age, is_leaving: false }, now);
+    let told = roster.sightings(availability::Index(0), at(5_200));
+    let age = Duration::from_millis(200);
+    assert_eq!(told, [Sighting { name: name("a"), age, is_leaving: false }]);
+    assert!(roster.sightings(availability::Index(0), at(7_000)).is_empty(), "it is silent");
+}
