Answer slow heads with 408, and show latencies as a histogram

Cause: hyper has one time for the pause between requests and for a head, so that a slow head was closed without an answer after the idle time. Change: the connection itself limits heads that have begun, unless a request is in hand, as a 408 says that nothing was passed on.

--- a/crates/node/src/entry/counters.rs
+++ b/crates/node/src/entry/counters.rs
@@ -94,6 +94,19 @@
         }
     }
 
+    /// The histogram of latencies: upper bounds in microseconds, and the answers up to each. Buckets
+    /// before the first answer and after the last one are left out.
+    pub fn histogram(&self) -> impl Iterator<Item = (u64, u64)> {
+        let first = self.latency.iter().position(|count| *count > 0).unwrap_or(BUCKETS);
+        let last = self.latency.iter().rposition(|count| *count > 0).unwrap_or(0);
+        let mut seen = 0;
+        let buckets = self.latency.iter().enumerate().take(last + 1).skip(first);
+        buckets.map(move |(bucket, count)| {
+            seen += count;
+            (2 << bucket, seen)
+        })
+    }
+
     /// The upper bound, in microseconds, of the bucket that holds a quantile.
     pub fn quantile_since(&self, earlier: &Reading, part: f64) -> Option<u64> {
         let counts = self.latency.iter().zip(&earlier.latency).map(|(now, before)| now - before);
--- a/crates/node/src/gateway/page.rs
+++ b/crates/node/src/gateway/page.rs
@@ -36,6 +36,10 @@
     let client = StatsdClient::from_sink("oleanderspan", lines);
     let reading = state.counters.read();
     reading.send_since(&state.counters.zero(), &client);
+    for (bound, answers) in reading.histogram() {
+        let bound = bound.to_string();
+        client.gauge_with_tags("entry.latency_us", answers).with_tag("le", &bound).send();
+    }
     let snapshot = state.snapshot();
     let gauges = [
         ("gateway.hosts", snapshot.peers.len() + 1),
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -176,9 +176,8 @@
         let snapshot = self.snapshot();
         let limits = snapshot.table.as_ref().map(|table| &table.limits);
         server::Options {
-            // `hyper` counts the pause between two requests as part of the next head.
-            head_timeout: limits
-                .map_or(FIRST_IDLE, |limits| limits.idle_timeout.max(limits.head_timeout)),
+            head_timeout: limits.map_or(FIRST_IDLE, |limits| limits.head_timeout),
+            idle_timeout: limits.map_or(FIRST_IDLE, |limits| limits.idle_timeout),
             max_head_bytes: limits
                 .map_or(server::Options::default().max_head_bytes, |limits| limits.max_head_bytes),
             ..server::Options::default()
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod head;
 pub mod header;
 pub mod meter;
 pub mod server;
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -12,7 +12,10 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::http::Body;
+use crate::http::{
+    Body,
+    head::{Limited, Progress},
+};
 
 /// Longest time for a client to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -35,8 +38,10 @@
 /// How connections are treated.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Longest time for a client to send the head of a request, also of the first after a pause.
+    /// Longest time for a client to send the head of a request.
     pub head_timeout: Duration,
+    /// Longest time for which a connection may stay unused.
+    pub idle_timeout: Duration,
     /// The largest head of a request, in bytes.
     pub max_head_bytes: usize,
     /// How often an HTTP/2 client is asked whether it is still there.
@@ -47,6 +52,7 @@
     fn default() -> Options {
         Options {
             head_timeout: HEAD_TIMEOUT,
+            idle_timeout: HEAD_TIMEOUT,
             max_head_bytes: MAX_HEAD_BYTES,
             ping_interval: PING_INTERVAL,
         }
@@ -90,12 +96,20 @@
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
+        let options = options();
+        let progress = Progress::default();
+        let stream = Limited::new(stream, options.head_timeout, progress.clone());
         let service = service_fn(move |request| {
+            let unanswered = progress.begin();
             let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.answer(request, peer).await) }
+            async move {
+                let answer = handler.answer(request, peer).await;
+                drop(unanswered);
+                Ok::<_, Infallible>(answer)
+            }
         });
         let connection =
-            builder(options()).serve_connection(TokioIo::new(stream), service).into_owned();
+            builder(options).serve_connection(TokioIo::new(stream), service).into_owned();
         let watched = graceful.watch(connection);
         // An error here is the client's: it went away or sent no HTTP.
         tokio::spawn(async move {
@@ -111,7 +125,8 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(options.head_timeout)
+        // `hyper` counts the pause between two requests as part of the next head.
+        .header_read_timeout(options.idle_timeout.max(options.head_timeout))
         .max_buf_size(options.max_head_bytes.max(LEAST_BUFFER_BYTES));
     builder
         .http2()
