--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod lending;
 pub mod message;
 pub mod names;
+pub mod objects;
 pub mod page;
 pub mod peers;
 pub mod reload;
@@ -73,6 +74,7 @@
         tokio::spawn(peers::run(state.clone())),
         tokio::spawn(reload::run(state.clone(), path)),
         tokio::spawn(lending::run(state.clone())),
+        tokio::spawn(objects::run(state.clone(), source.clone())),
         tokio::spawn(pump(state.clone())),
     ];
     let front = front::Front(state.clone());
--- a/crates/node/src/gateway/lending.rs
+++ b/crates/node/src/gateway/lending.rs
@@ -33,6 +33,8 @@
 pub struct Book {
     /// What this region has lent.
     pub ledger: Ledger,
+    /// When this host began to give out the service's slots.
+    began: Option<Instant>,
     borrowed: Map<region::Index, Borrowed>,
     standings: Map<region::Index, (Standing, Instant)>,
 }
@@ -114,12 +116,14 @@
     let servers = lendable(state, snapshot, service);
     state.update(|beliefs, now| {
         let book = beliefs.books.entry(service.clone()).or_default();
+        let lends_for = now.since(*book.began.get_or_insert(now));
         let standings = book.standings(own, standing, regions, now);
         let plan = loan::plan(own, &standings);
         let mut is_news = false;
         for (region, wanted) in (0u16..).map(region::Index).zip(plan) {
             let before = book.ledger.lent_to(region);
-            let size = loan::step(before, wanted, standing.slots, is_idle);
+            let is_free = loan::is_free(is_idle, before, lends_for);
+            let size = loan::step(before, wanted, standing.slots, is_free);
             book.ledger.set(region, size, &servers);
             let after = book.ledger.lent_to(region);
             if before != after {
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -130,6 +130,12 @@
     /// The rows of a page.
     fn decode(&self, topic: Topic, page: &[u8]) -> Result<Vec<Row>, Error>;
 
+    /// Reads what was kept under a key; none if nothing was.
+    fn load(&self, key: &str) -> impl Future<Output = Result<Option<Vec<u8>>, Error>> + Send;
+
+    /// Keeps something under a key.
+    fn save(&self, key: &str, value: &[u8]) -> impl Future<Output = Result<(), Error>> + Send;
+
     /// Lists this host, with what the others shall know of it.
     fn announce(
         &self,
--- /dev/null
+++ b/crates/oleanderspan/benches/placement.rs
@@ -0,0 +1,103 @@
+//! Choosing a server for a request, with 200 servers and 1,000 requests that wait.
+//!
+//! `cargo bench -p oleanderspan --bench placement`
+
+#![allow(missing_docs, clippy::unwrap_used, reason = "a benchmark fails by panicking")]
+
+use std::{hint::black_box, net::Ipv4Addr};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use oleanderspan::{
+    availability,
+    backend::{
+        Name, Object, Pool, Recall, Server, Waiter,
+        pool::{Overload, Placement, Rank, Wish},
+        server::Identity,
+    },
+    prelude::*,
+    request::admission::{self, Load, Time},
+};
+
+const SLOTS: u32 = 5;
+const WAITERS: usize = 1_000;
+
+struct Ticket;
+
+impl Waiter for Ticket {
+    fn grant(self, _server: Arc<Server>) -> Result<(), Arc<Server>> {
+        Ok(())
+    }
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::ZERO + Duration::from_millis(millis)
+}
+
+/// Servers that each know eight objects.
+fn pool(servers: u16) -> Pool<Ticket> {
+    let pool = Pool::with_overload(Overload::Admit);
+    let server = |number: u16| {
+        let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, number));
+        let identity = Identity { name, incarnation: 1 };
+        Arc::new(Server::new(identity, address, availability::Index(0), SLOTS))
+    };
+    pool.update((1..=servers).map(server).collect(), u32::MAX);
+    for (i, server) in (0..).zip(pool.servers().iter()) {
+        (0..8).for_each(|n| server.note_object(Object::from_hash(i * 8 + n + 1), at(n)));
+        pool.observe_recalled(server, Some(Recall::after(0)), Duration::from_millis(400));
+    }
+    pool
+}
+
+fn wish(object: u64) -> Wish {
+    Wish { object: Some(Object::from_hash(object)), ..Wish::default() }
+}
+
+fn placement(criterion: &mut Criterion) {
+    for servers in [50, 200, 800] {
+        let pool = pool(servers);
+        let mut object = 0;
+        criterion.bench_function(&format!("a server that knows the object, of {servers}"), |b| {
+            b.iter(|| {
+                object = object % (u64::from(servers) * 8) + 1;
+                let placed = pool.place(&wish(object), Rank::default(), Duration::ZERO, at(9));
+                let Placement::Taken(server) = black_box(placed) else { panic!("none is free") };
+                pool.release(&server, at(9));
+            });
+        });
+        criterion.bench_function(&format!("a server for a new object, of {servers}"), |b| {
+            b.iter(|| {
+                let server = pool.try_acquire_for(&wish(1 << 40), at(9)).unwrap();
+                pool.release(black_box(&server), at(9));
+            });
+        });
+    }
+    let pool = pool(200);
+    let taken: Vec<_> = std::iter::from_fn(|| pool.try_acquire()).collect();
+    let limit = Duration::from_secs(3_600);
+    (0..WAITERS).for_each(|_| {
+        pool.enqueue_ranked(Ticket, Rank::default(), Wish::default(), limit, at(9));
+    });
+    criterion.bench_function("a slot that comes back to 1,000 who wait", |b| {
+        b.iter(|| {
+            pool.enqueue_ranked(Ticket, Rank::default(), Wish::default(), limit, at(9));
+            pool.release(black_box(&taken[0]), at(9));
+        });
+    });
+    let time = Time { objective: Duration::from_millis(800), deadline: Duration::from_secs(4) };
+    criterion.bench_function("a request is refused", |b| {
+        b.iter(|| {
+            let load = Load {
+                ahead: pool.queued_before(Rank::default()),
+                slots: 200 * SLOTS,
+                mean_latency: pool.mean_latency(),
+                typical_latency: pool.typical_latency(),
+            };
+            black_box(admission::judge(time, &load))
+        });
+    });
+}
+
+criterion_group!(benches, placement);
+criterion_main!(benches);
--- a/crates/oleanderspan/src/backend/memory.rs
+++ b/crates/oleanderspan/src/backend/memory.rs
@@ -93,6 +93,33 @@
         self.used[place].store(stamp, Ordering::Relaxed);
     }
 
+    /// The objects and when each was used last, the latest `depth` ones from the latest on.
+    pub fn latest(&self, depth: usize) -> Vec<(Object, Instant)> {
+        let places = self.objects.iter().zip(&self.used);
+        let mut latest: Vec<(Object, Instant)> = places
+            .map(|(object, used)| (object.load(Ordering::Relaxed), used.load(Ordering::Relaxed)))
+            .filter(|(object, _)| *object != 0)
+            .map(|(object, used)| (Object(object), Instant::from_nanos(used)))
+            .collect();
+        latest.sort_by_key(|(_, used)| std::cmp::Reverse(*used));
+        latest.truncate(depth);
+        latest
+    }
+
+    /// Adds objects, the one used last first, as if they had been used shortly before `at`; those
+    /// that were used since keep their place.
+    pub fn add(&self, objects: &[Object], at: Instant) {
+        for (i, object) in (0..).zip(objects) {
+            let stamp = at.as_nanos().saturating_sub(i);
+            let oldest = || (0..CAPACITY).min_by_key(|i| self.used[*i].load(Ordering::Relaxed));
+            let Some(place) = self.position(*object).or_else(oldest) else { return };
+            if self.used[place].load(Ordering::Relaxed) < stamp {
+                self.objects[place].store(object.0, Ordering::Relaxed);
+                self.used[place].store(stamp, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// When the object was last used that a server with room for `depth` objects would forget
     /// for another one; none while it has room.
     pub fn last_use_of_next_forgotten(&self, depth: usize) -> Option<Instant> {
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -77,6 +77,7 @@
     /// Those who wait for one server each.
     in_lanes: AtomicU32,
     warmth: Warmth,
+    placed: AtomicU64,
     typical_nanos: AtomicU64,
     mean_nanos: AtomicU64,
 }
@@ -123,6 +124,7 @@
             returned: AtomicU32::new(0),
             in_lanes: AtomicU32::new(0),
             warmth: Warmth::new(),
+            placed: AtomicU64::new(0),
             typical_nanos: AtomicU64::new(0),
             mean_nanos: AtomicU64::new(0),
         }
@@ -170,6 +172,11 @@
         common + self.in_lanes.load(Ordering::Relaxed) as usize
     }
 
+    /// Requests about objects that were placed here since the start.
+    pub fn placed(&self) -> u64 {
+        self.placed.load(Ordering::Relaxed)
+    }
+
     /// What answers have told of objects that servers know.
     pub fn warmth(&self) -> &Warmth {
         &self.warmth
--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -71,6 +71,7 @@
     /// no longer than `patience`.
     pub fn place(&self, wish: &Wish, rank: Rank, patience: Duration, now: Instant) -> Placement {
         let Some(object) = wish.object else { return Placement::Anywhere };
+        self.placed.fetch_add(1, Ordering::Relaxed);
         let members = self.members.load();
         let known = || members.iter().filter(|(server, _)| self.suits(server, object, wish, now));
         let free = known().filter(|(server, lane)| server.free() > 0 && lane.is_empty());
--- /dev/null
+++ b/crates/oleanderspan/src/backend/recollection.rs
@@ -0,0 +1,74 @@
+//! What the servers of a pool remember, as one host hands it to the next that gives out their slots.
+//!
+//! The fault that this answers: the host that gives out slots stops, or all hosts do. The servers
+//! still know their objects, but the next host does not know which, and sends requests to others
+//! that take several times as long, until all have learned again.
+
+use crate::{
+    backend::{Object, Pool, Waiter, server::Identity},
+    prelude::*,
+};
+
+/// The most objects that are handed on, so that they fit into a row of the platform's store.
+pub const MAX_OBJECTS: usize = 4_000;
+
+/// How long ago handed-on objects count as used: whatever was seen since counts for more.
+const HANDED_ON_AGE: Duration = Duration::from_millis(1_000);
+
+value! {
+    /// What servers remember, and how that was learned to matter.
+    #[derive(Default)]
+    pub struct Recollection {
+        /// The number of objects that a server remembers.
+        pub depth: usize,
+        /// The usual latencies on known and on unknown objects, if they differ.
+        pub latencies: Option<(Duration, Duration)>,
+        /// The objects of each server, the one used last first.
+        pub servers: Vec<(Identity, Vec<Object>)>,
+    }
+}
+
+impl<W: Waiter> Pool<W> {
+    /// What the servers remember now; those used last if it is too much.
+    pub fn recollect(&self) -> Recollection {
+        let depth = self.warmth().depth();
+        let servers = self.servers();
+        let mut known: Vec<_> = servers
+            .iter()
+            .map(|server| (server, server.objects(depth)))
+            .filter(|(_, objects)| !objects.is_empty())
+            .collect();
+        known.sort_by_key(|(_, objects)| std::cmp::Reverse(objects.first().map(|(_, at)| *at)));
+        let mut left = MAX_OBJECTS;
+        let mut kept = Vec::new();
+        for (server, objects) in known {
+            if objects.len() > left {
+                break;
+            }
+            left -= objects.len();
+            let objects = objects.into_iter().map(|(object, _)| object).collect();
+            kept.push((server.identity.clone(), objects));
+        }
+        Recollection { depth, latencies: self.warmth().latencies(), servers: kept }
+    }
+
+    /// Takes over what another host knew. Returns how many servers were still the same ones.
+    pub fn take_over(&self, recollection: &Recollection, now: Instant) -> usize {
+        self.warmth().take_over(recollection.depth, recollection.latencies);
+        let known: Map<_, _> = recollection
+            .servers
+            .iter()
+            .map(|(identity, objects)| (&identity.name, (identity.incarnation, objects)))
+            .collect();
+        let mut same = 0;
+        for server in self.servers().iter() {
+            let Some((incarnation, objects)) = known.get(&server.identity.name) else { continue };
+            // A server that has started anew knows nothing.
+            if *incarnation == server.identity.incarnation {
+                server.take_over(objects, now - HANDED_ON_AGE);
+                same += 1;
+            }
+        }
+        same
+    }
+}
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -173,6 +173,16 @@
         self.objects.get().map_or(Recall::NEVER, |objects| objects.recall(object))
     }
 
+    /// The objects that the server was sent requests for last, from the latest on.
+    pub fn objects(&self, depth: usize) -> Vec<(Object, Instant)> {
+        self.objects.get().map_or_else(Vec::new, |objects| objects.latest(depth))
+    }
+
+    /// Takes over what another host knew of the server's objects, the one used last first.
+    pub fn take_over(&self, objects: &[Object], at: Instant) {
+        self.objects.get_or_init(Box::default).add(objects, at);
+    }
+
     /// When the object was last used that the server would forget for another one, if it remembers
     /// `depth` of them; none while it has room.
     pub fn last_use_of_next_forgotten(&self, depth: usize) -> Option<Instant> {
--- a/crates/oleanderspan/src/backend/warmth.rs
+++ b/crates/oleanderspan/src/backend/warmth.rs
@@ -50,6 +50,12 @@
         let _ = self.nanos.fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
     }
 
+    fn take_over(&self, median: Duration) {
+        let nanos = u64::try_from(median.as_nanos()).unwrap_or(u64::MAX);
+        self.nanos.store(nanos, Ordering::Relaxed);
+        self.answers.fetch_max(MEDIAN_DIVISOR as u32, Ordering::Relaxed);
+    }
+
     fn get(&self) -> Option<u64> {
         let is_known = self.answers.load(Ordering::Relaxed) >= LEAST_ANSWERS;
         is_known.then(|| self.nanos.load(Ordering::Relaxed))
@@ -100,6 +106,20 @@
         differ.then(|| (Duration::from_nanos(known), Duration::from_nanos(unknown)))
     }
 
+    /// Takes over what another host has learned.
+    pub fn take_over(&self, depth: usize, latencies: Option<(Duration, Duration)>) {
+        let Some((known, unknown)) = latencies else { return };
+        self.known.take_over(known);
+        self.unknown.take_over(unknown);
+        let depth = depth.clamp(1, CAPACITY);
+        self.depth.store(depth as u32, Ordering::Relaxed);
+        // Weighs as much as a few answers on either side of the depth.
+        for (i, (fast, slow)) in self.fast.iter().zip(&self.slow).enumerate() {
+            let count = if i < depth { fast } else { slow };
+            count.fetch_max(LEAST_ANSWERS, Ordering::Relaxed);
+        }
+    }
+
     /// Takes an answer into account.
     pub fn observe(&self, recall: Recall, latency: Duration) {
         match recall.others() {
--- a/crates/oleanderspan/src/region/loan.rs
+++ b/crates/oleanderspan/src/region/loan.rs
@@ -82,11 +82,19 @@
     left > right
 }
 
+/// How long a host that begins to lend may do so at once: until it has heard of the other regions.
+const SETTLING: Duration = Duration::from_millis(3_500);
+
+/// Whether a loan may take its size at once: while no requests come, and where neither lender nor
+/// borrower knows of a loan since the lender began, as after a restart of all hosts. Nothing that
+/// runs can shift then.
+pub fn is_free(is_idle: bool, lent: u32, lends_for: Duration) -> bool {
+    is_idle || lent == 0 && lends_for < SETTLING
+}
+
 /// The next size of a loan on its way from `now` to `wanted`, for a service with `slots` slots.
-///
-/// While no requests come nothing can shift, so that the loan takes its size at once.
-pub fn step(now: u32, wanted: u32, slots: u32, is_idle: bool) -> u32 {
-    if is_idle {
+pub fn step(now: u32, wanted: u32, slots: u32, is_free: bool) -> u32 {
+    if is_free {
         return wanted;
     }
     let most = (slots * STEP_PERCENT / 100).max(1);
--- a/crates/oleanderspan/tests/loan.rs
+++ b/crates/oleanderspan/tests/loan.rs
@@ -137,3 +137,15 @@
     ledger.adopt(Index(1), [(name(1), 4)].into_iter().collect());
     assert_eq!(ledger.lent_of(&name(1)), 0, "the own ledger goes first");
 }
+
+/// The fault: all hosts start again under load, and no one knows of a loan.
+#[test]
+fn after_a_restart_a_loan_takes_its_size_at_once() {
+    let second = Duration::from_secs(1);
+    assert!(loan::is_free(false, 0, second));
+    assert!(!loan::is_free(false, 10, second), "a loan that is known changes slowly");
+    assert!(!loan::is_free(false, 0, second * 5), "so does one that begins under load");
+    assert!(loan::is_free(true, 10, second * 5));
+    assert_eq!(loan::step(0, 40, 100, true), 40);
+    assert_eq!(loan::step(0, 40, 100, false), 5);
+}
--- a/crates/oleanderspan/tests/locality.rs
+++ b/crates/oleanderspan/tests/locality.rs
@@ -240,3 +240,52 @@
     ));
     assert!(matches!(pool.place(&wish, Rank::default(), KNOWN, at(1)), Placement::Behind(_)));
 }
+
+/// The fault: the host that gives out slots stops, and the next one knows none of the objects.
+#[test]
+fn the_next_host_knows_what_servers_remember() {
+    let before = pool();
+    for (i, server) in before.servers().iter().enumerate() {
+        (0..4).for_each(|n| server.note_object(Object::from_hash(10 * i as u64 + n + 1), at(n)));
+    }
+    for _ in 0..40 {
+        before.warmth().observe(Recall::NEVER, UNKNOWN);
+        (0..8).for_each(|others| {
+            let latency = if others < DEPTH { KNOWN } else { UNKNOWN };
+            before.warmth().observe(Recall::after(others), latency);
+        });
+    }
+    let kept = before.recollect();
+    assert_eq!((kept.depth, kept.servers.len()), (DEPTH, 3));
+    let after = pool();
+    let servers = after.servers();
+    servers[2].note_object(Object::from_hash(99), at(5_000));
+    assert_eq!(after.take_over(&kept, at(5_000)), 3);
+    assert_eq!(after.warmth().depth(), DEPTH);
+    assert!(after.warmth().latencies().is_some());
+    let latest = servers[0].recall(Object::from_hash(4));
+    assert_eq!(latest, Recall::after(0), "the order is kept");
+    assert_eq!(servers[0].recall(Object::from_hash(1)), Recall::after(3));
+    assert_eq!(servers[2].recall(Object::from_hash(99)), Recall::after(0), "news count for more");
+    assert_eq!(servers[2].recall(Object::from_hash(24)), Recall::after(1));
+    // A server that has started anew knows nothing.
+    let mut stale = kept;
+    stale.servers.iter_mut().for_each(|(identity, _)| identity.incarnation += 1);
+    assert_eq!(pool().take_over(&stale, at(5_000)), 0);
+}
+
+/// A row of the store has a limit; the servers used last are kept.
+#[test]
+fn what_is_handed_on_is_bounded() {
+    let pool: Pool<Ticket> = Pool::with_overload(Overload::Admit);
+    let servers: Vec<_> = (1..=400).map(server).collect();
+    for (i, server) in (1..).zip(&servers) {
+        (0..16).for_each(|n| server.note_object(Object::from_hash(i * 100 + n), at(i * 10 + n)));
+    }
+    pool.update(servers, u32::MAX);
+    let kept = pool.recollect();
+    let objects: usize = kept.servers.iter().map(|(_, objects)| objects.len()).sum();
+    assert!(objects <= oleanderspan::backend::recollection::MAX_OBJECTS);
+    assert_eq!(kept.servers.len(), 250);
+    assert_eq!(kept.servers[0].0.name.as_str(), "server-400");
+}
