Send nothing to cold servers until a started host has heard of the others

Change: a cold server gets nothing from a host in the first 1.5 s after its start.

Also, without a change of what happens: the waiting for slots that this host gives out moved from `grant.rs` to `slots.rs`; a kept row counts names as objects, so that it stays within the store's limit.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod reload;
 pub mod settings;
+pub mod slots;
 pub mod source;
 pub mod state;
 pub mod stop;
--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -17,11 +17,10 @@
     codec,
     entry::slot::Lease,
     gateway::{
-        State, feed,
-        grant::{self, Given, Refused},
-        lending,
+        State, feed, grant, lending,
         message::{ASK_PATH, Ask, FOLLOW_PATH, LOAN_PATH, PING_PATH, Ping, Report, Seen},
         peers,
+        slots::{self, Given, Refused},
     },
     http::{Body, server::Handler},
 };
@@ -105,7 +104,7 @@
         };
         let not = ask.not.as_deref().and_then(|name| backend::Name::try_from(name).ok());
         let wish = Wish { object: ask.object.map(Object::from_hash), not, is_bound: ask.is_bound };
-        grant::acquire_here(&pool, state.clock, ask.priority, time, wish).await
+        slots::acquire(&pool, state.clock, ask.priority, time, wish).await
     }
 
     fn note(&self, report: &Report) {
@@ -122,7 +121,7 @@
         }
         if let (Some(pool), Some(server)) = (pool, server) {
             let recall = report.recall.map(Recall::from_number);
-            grant::note(pool, server, recall, report.latency_us.map(Duration::from_micros));
+            slots::note(pool, server, recall, report.latency_us.map(Duration::from_micros));
         }
     }
 
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -71,7 +71,7 @@
 pub async fn answer<G>(state: &State, question: &Follow) -> Response<Body<G>> {
     let topic = Topic::ALL.into_iter().find(|topic| topic.as_str() == question.topic);
     let next = match topic {
-        Some(topic) => state.journal(topic).next(question.after).await,
+        Some(topic) => state.feed(topic).next(question.after).await,
         None => Next::Idle,
     };
     let (status, body) = match &next {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -14,7 +14,8 @@
 use crate::{
     entry::parcel::Parcel,
     gateway::{
-        grant::{self, Grant, Refused, Want},
+        grant::{self, Grant, Want},
+        slots::Refused,
         state::Shared,
     },
     http::{
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -5,27 +5,19 @@
 use hyper::body::Incoming;
 use oleanderspan::{
     availability::Atlas,
-    backend::{
-        self, Object, Pool, Recall, Server,
-        pool::{Placement, Rank, Wish},
-        server::Identity,
-    },
+    backend::{self, Object, Recall, Server, pool::Wish, server::Identity},
     entry::roster::Peer,
     prelude::*,
     region,
-    request::{
-        Refusal,
-        admission::{self, Load, Time, Verdict},
-    },
+    request::{Refusal, admission::Time},
     service,
 };
 use slog::{info, warn};
 
 use crate::{
-    clock::Monotonic,
-    entry::slot::{self, Lease, Ticket},
     gateway::{
         message::{self, ASK_PATH, Ask, Report},
+        slots::{self, Given, Refused},
         state::{Shared, is_usable},
     },
     http::header as names,
@@ -45,10 +37,6 @@
 /// little by then.
 const MAX_KEPT_REPORTS: usize = 64;
 
-/// When clients may come back if there is no server at all: about the time in which a platform
-/// lists a new one.
-const NO_SERVER_RETRY: Duration = Duration::from_millis(1_000);
-
 /// A slot that is taken until the grant is dropped.
 #[derive(Debug)]
 pub enum Grant {
@@ -100,15 +88,6 @@
     pub wish: Wish,
 }
 
-/// Why there is no slot, and when to come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refused {
-    /// The reason.
-    pub refusal: Refusal,
-    /// When a client may come back.
-    pub retry_after: Option<Duration>,
-}
-
 /// Takes a slot for a request.
 pub async fn acquire(state: &Shared, want: &Want<'_>) -> Result<Grant, Refused> {
     let began = state.clock.now();
@@ -128,8 +107,8 @@
                 demand.count();
             }
             drop(snapshot);
-            let Some(pool) = pool else { return Err(no_server()) };
-            let given = acquire_here(&pool, state.clock, want.priority, time, wish).await?;
+            let Some(pool) = pool else { return Err(slots::no_server()) };
+            let given = slots::acquire(&pool, state.clock, want.priority, time, wish).await?;
             return Ok(Grant::Own(given));
         };
         let peer = peer.clone();
@@ -160,107 +139,6 @@
     Err(Refused { refusal: Refusal::NotReady, retry_after: Refusal::NotReady.retry_after() })
 }
 
-/// A slot that this host has given out.
-#[derive(Debug)]
-pub struct Given {
-    /// The slot.
-    pub lease: Lease,
-    /// How well the server knows the object of the request, if it is about one.
-    pub recall: Option<Recall>,
-}
-
-/// Takes a slot of a pool that this host gives out.
-pub async fn acquire_here(
-    pool: &Arc<Pool<Ticket>>,
-    clock: Monotonic,
-    priority: u8,
-    time: Time,
-    wish: Wish,
-) -> Result<Given, Refused> {
-    let object = wish.object;
-    let lease = match near(pool, clock, priority, time, &wish).await {
-        Ok(lease) => lease,
-        Err(time) => match slot::try_acquire(pool, clock, &wish) {
-            Some(lease) => lease,
-            None => queue(pool, clock, priority, time, wish).await?,
-        },
-    };
-    let (Some(server), Some(object)) = (lease.server(), object) else {
-        return Ok(Given { lease, recall: None });
-    };
-    let recall = server.recall(object);
-    server.note_object(object, clock.now());
-    Ok(Given { lease, recall: Some(recall) })
-}
-
-/// Takes a slot of a server that knows the object of a request, or returns what time is left.
-async fn near(
-    pool: &Arc<Pool<Ticket>>,
-    clock: Monotonic,
-    priority: u8,
-    time: Time,
-    wish: &Wish,
-) -> Result<Lease, Time> {
-    let latencies = pool.warmth().latencies();
-    let patience = latencies
-        .map_or(Duration::ZERO, |(known, unknown)| admission::patience(time, known, unknown));
-    // What counts is whether it would be in time on a server that knows its object.
-    let is_late = latencies.is_some_and(|(known, _)| time.objective < known);
-    let rank = Rank::new(priority, is_late);
-    let began = clock.now();
-    match pool.place(wish, rank, patience, began) {
-        Placement::Taken(server) => Ok(slot::lease(pool, clock, server)),
-        Placement::Anywhere => Err(time),
-        Placement::Behind(server) => {
-            let lease = slot::wait_behind(pool, clock, &server, rank, patience).await;
-            let spent = clock.now().since(began);
-            lease.ok_or(Time {
-                objective: time.objective.saturating_sub(spent),
-                deadline: time.deadline.saturating_sub(spent),
-            })
-        }
-    }
-}
-
-async fn queue(
-    pool: &Arc<Pool<Ticket>>,
-    clock: Monotonic,
-    priority: u8,
-    time: Time,
-    wish: Wish,
-) -> Result<Lease, Refused> {
-    let servers = pool.servers();
-    let usable = servers.iter().filter(|server| is_usable(server));
-    let mut load = Load {
-        ahead: 0,
-        slots: usable.map(|server| server.own_slots()).sum(),
-        mean_latency: pool.mean_latency(),
-        typical_latency: pool.typical_latency(),
-    };
-    drop(servers);
-    if load.slots == 0 {
-        return Err(no_server());
-    }
-    let rank = admission::rank(priority, time, &load);
-    load.ahead = pool.queued_before(rank);
-    match admission::judge(time, &load) {
-        Verdict::Refuse { retry_after } => {
-            Err(Refused { refusal: Refusal::Overloaded, retry_after: Some(retry_after) })
-        }
-        Verdict::Wait { limit } => {
-            let granted = slot::wait(pool, clock, rank, wish, limit).await;
-            granted.ok_or_else(|| Refused {
-                refusal: Refusal::Overloaded,
-                retry_after: Some(load.expected_wait().min(time.deadline)),
-            })
-        }
-    }
-}
-
-fn no_server() -> Refused {
-    Refused { refusal: Refusal::NoServer, retry_after: Some(NO_SERVER_RETRY) }
-}
-
 /// Why a question for a slot brought none.
 #[derive(Debug)]
 enum Failure {
@@ -353,7 +231,7 @@
 pub fn report(state: &Shared, want: &Want<'_>, grant: &Grant, latency: Option<Duration>) {
     let Some(server) = grant.server() else { return };
     if let Some(pool) = state.snapshot().pool(want.service, want.region) {
-        note(pool, server, grant.recall(), latency);
+        slots::note(pool, server, grant.recall(), latency);
     }
     if matches!(grant, Grant::Foreign { .. }) {
         if state.reports.len() >= MAX_KEPT_REPORTS {
@@ -370,19 +248,6 @@
     }
 }
 
-/// Takes note of an answer of a server, or of its failure.
-pub fn note(
-    pool: &Pool<Ticket>,
-    server: &Server,
-    recall: Option<Recall>,
-    latency: Option<Duration>,
-) {
-    match latency {
-        Some(latency) => pool.observe_recalled(server, recall, latency),
-        None => server.observe_failure(),
-    }
-}
-
 fn no_answer(reason: impl std::fmt::Display) -> Failure {
     Failure::NoAnswer(reason.to_string())
 }
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -7,7 +7,10 @@
 use oleanderspan::{
     availability,
     backend::{self, Listing, Pool, Server, listing::Known, pool::Overload},
-    entry::{Roster, rank, roster::Peer},
+    entry::{
+        Roster, rank,
+        roster::{self, Peer},
+    },
     prelude::*,
     region::{self, Demand},
     request::retry::Budget,
@@ -147,7 +150,7 @@
     }
 
     /// The changes of a topic that this host reads for others.
-    pub fn journal(&self, topic: Topic) -> &Feed {
+    pub fn feed(&self, topic: Topic) -> &Feed {
         &self.feeds[topic as usize]
     }
 
@@ -221,6 +224,8 @@
             let table = self.table.as_ref();
             if let Some(service) = table.and_then(|table| table.service(&known.entry.service)) {
                 known.chill(service.cold_rate, now);
+                // The clock begins with the process.
+                known.server.cold().hold_until(Instant::ZERO + roster::SETTLING);
             }
             (name.clone(), Arc::clone(server))
         };
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -83,7 +83,7 @@
             && away_since.is_none()
             && let Some(reader) = reader(state, topic, own_until)
         {
-            state.journal(topic).stop();
+            state.feed(topic).stop();
             match handed_on(state, source, topic, version, &reader).await {
                 Ok((version, rows)) => {
                     after = Some(version);
@@ -122,7 +122,7 @@
                 after = None;
             }
             Err(Error::Away(reason)) => {
-                state.journal(topic).stop();
+                state.feed(topic).stop();
                 if away_since.is_none() {
                     warn!(state.log, "store does not answer"; "topic" => topic.as_str(),
                         "reason" => reason);
@@ -152,13 +152,13 @@
         for page in pages {
             rows.extend(source.decode(topic, &page.bytes)?);
         }
-        state.journal(topic).restart(version);
+        state.feed(topic).restart(version);
         return Ok((version, rows));
     };
     let page = source.follow(topic, after, FOLLOW_WAIT).await?;
     let rows = source.decode(topic, &page.bytes)?;
     let version = page.version;
-    state.journal(topic).push(Entry { after, version, page: page.bytes });
+    state.feed(topic).push(Entry { after, version, page: page.bytes });
     Ok((version, rows))
 }
 
--- a/crates/oleanderspan/src/backend/cold.rs
+++ b/crates/oleanderspan/src/backend/cold.rs
@@ -55,6 +55,14 @@
         self.warm_at.fetch_max(warm_at.as_nanos(), Ordering::Relaxed);
     }
 
+    /// Lets no request through before `opens_at` while the server is cold: a host that has just
+    /// started does not know yet which host gives out the slots, and several that each keep the
+    /// rate by themselves would exceed it together.
+    pub fn hold_until(&self, opens_at: Instant) {
+        let due = opens_at.as_nanos().saturating_add(self.ahead());
+        self.due.fetch_max(due, Ordering::Relaxed);
+    }
+
     /// Whether requests are limited now.
     pub fn is_cold(&self, now: Instant) -> bool {
         now.as_nanos() < self.warm_at.load(Ordering::Relaxed)
@@ -79,9 +87,14 @@
 
     /// The latest due time at which a request may go ahead of it.
     fn latest(&self, now: Instant) -> u64 {
+        now.as_nanos().saturating_add(self.ahead())
+    }
+
+    /// How far requests may go ahead of the rate.
+    fn ahead(&self) -> u64 {
         let interval = self.interval_nanos.load(Ordering::Relaxed);
         let ahead = interval.checked_mul(u64::from(BURST - 1)).filter(|_| interval < u64::MAX);
         // Without a rate there is nothing to go ahead of.
-        now.as_nanos().saturating_add(ahead.unwrap_or(0))
+        ahead.unwrap_or(0)
     }
 }
--- a/crates/oleanderspan/src/backend/recollection.rs
+++ b/crates/oleanderspan/src/backend/recollection.rs
@@ -9,9 +9,12 @@
     prelude::*,
 };
 
-/// The most objects that are handed on, so that they fit into a row of the platform's store.
+/// The most objects that are handed on, so that they fit into a row of the platform's store: 64 KB.
 pub const MAX_OBJECTS: usize = 4_000;
 
+/// The objects that a server's name and start take the place of.
+const OBJECTS_PER_NAME: usize = 8;
+
 /// How long ago handed-on objects count as used: whatever was seen since counts for more.
 const HANDED_ON_AGE: Duration = Duration::from_millis(1_000);
 
@@ -42,10 +45,11 @@
         let mut left = MAX_OBJECTS;
         let mut kept = Vec::new();
         for (server, objects) in known {
-            if objects.len() > left {
+            let size = objects.len() + OBJECTS_PER_NAME;
+            if size > left {
                 break;
             }
-            left -= objects.len();
+            left -= size;
             let objects = objects.into_iter().map(|(object, _)| object).collect();
             kept.push((server.identity.clone(), objects));
         }
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -21,6 +21,10 @@
 /// takes two more rounds.
 pub const FAR_SILENCE: Duration = Duration::from_millis(2_600);
 
+/// How long after its start a host may not know yet which of the others live: two rounds of
+/// questions, as the first one may come before the others listen, and their answers.
+pub const SETTLING: Duration = Duration::from_millis(1_500);
+
 /// The most hosts of a region that all ask each other.
 const SMALL_REGION: usize = 8;
 
--- a/crates/oleanderspan/tests/listing.rs
+++ b/crates/oleanderspan/tests/listing.rs
@@ -142,3 +142,17 @@
     assert!(passed <= 1, "{passed}");
     assert!(limiter.try_pass(at(1_000)));
 }
+
+/// The fault: all hosts start at once, and each gives out slots until it hears of the others.
+#[test]
+fn a_host_that_has_just_started_sends_nothing_to_cold_servers() {
+    let limiter = cold::Limiter::warm();
+    limiter.chill(at(9_000), cold::Rate::per_1000_s(4_000));
+    limiter.hold_until(at(1_500));
+    let passed: Vec<u64> = (0..3_000).filter(|millis| limiter.try_pass(at(*millis))).collect();
+    assert_eq!(passed.first(), Some(&1_500));
+    assert!(passed.iter().filter(|millis| **millis < 2_500).count() <= 6, "{passed:?}");
+    let warm = cold::Limiter::warm();
+    warm.hold_until(at(1_500));
+    assert!(warm.try_pass(at(0)), "a warm server is not held back");
+}
