--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -11,7 +11,7 @@
 
 /// How long an entry that was gone when the store came back is still believed.
 ///
-/// The platform's pages promise that living servers are listed again within about two seconds.
+/// Living servers of a platform are listed again within about two seconds of the store's return.
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
 
 /// How long it is remembered that a server went: longer than any outage of the store in which
