--- a/crates/node/src/gateway/directory.rs
+++ b/crates/node/src/gateway/directory.rs
@@ -1,11 +1,13 @@
 //! HTTP endpoints for host discovery, readiness and metrics.
 
+use std::sync::atomic::Ordering;
+
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use oleanderspan::prelude::*;
 use serde::Serialize;
-use slog::warn;
+use slog::{debug, warn};
 
 use crate::{
     codec,
@@ -39,7 +41,10 @@
 
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
         match request.uri().path() {
-            LOCATE_PATH => self.locate(),
+            LOCATE_PATH => {
+                self.count_foreign_client(request.uri());
+                self.locate()
+            }
             READY_PATH if self.is_ready() => text(String::new(), "text/plain"),
             READY_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
             METRICS_PATH => text(page::render(&self.0), "text/plain"),
@@ -53,6 +58,19 @@
         !self.0.stop.has_begun() && self.0.snapshot().is_ready()
     }
 
+    /// Counts a lookup by a client of another region, which is sent to hosts of this one.
+    fn count_foreign_client(&self, uri: &Uri) {
+        let state = &self.0;
+        let mut fields = uri.query().unwrap_or("").split('&');
+        let zone = fields.find_map(|field| field.strip_prefix("zone="));
+        let region = zone.and_then(|zone| state.settings.topology.find_zone(zone));
+        let Some((_, region)) = region else { return };
+        if region != state.settings.region {
+            state.foreign_lookups.fetch_add(1, Ordering::Relaxed);
+            debug!(state.log, "client of another region sent to hosts of this one"; "zone" => zone);
+        }
+    }
+
     /// Lists the live hosts of the region. All of them reach the same servers, so that callers can
     /// spread their load over them and fail over when one dies.
     fn locate(&self) -> Response<Body> {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,5 +1,7 @@
 //! Forwards requests to backend servers, and retries them on another server where that is safe.
 
+use std::sync::atomic::Ordering;
+
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use oleanderspan::{
@@ -9,7 +11,7 @@
     route::Route,
     service,
 };
-use slog::{debug, info};
+use slog::{debug, info, warn};
 
 use crate::{
     entry::outbound::OutboundRequest,
@@ -191,6 +193,7 @@
         .map_err(|AcquireError { refusal, retry_after }| Failure::unsent(refusal, retry_after))?;
     let server = grant.server().cloned();
     let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+    report_outside_homes(state, call, &grant, &server);
     let sent_at = state.clock.now();
     let remaining = call.deadline.remaining(sent_at);
     let remaining = remaining.ok_or_else(|| Failure::unsent(Refusal::Expired, None))?;
@@ -230,6 +233,23 @@
     }
 }
 
+/// Logs and counts a slot of a server that is outside the home regions of the request's route.
+fn report_outside_homes(state: &Shared, call: &Call<'_>, grant: &Grant, server: &Server) {
+    let topology = &state.settings.topology;
+    let region = topology.region_of(server.zone).and_then(|region| topology.region_name(region));
+    if region.is_some_and(|region| call.route.allows(region)) {
+        return;
+    }
+    state.outside_homes.fetch_add(1, Ordering::Relaxed);
+    warn!(state.log, "slot granted outside the home regions of the route";
+        "request" => call.id, "route" => &*call.route.name, "service" => %call.service,
+        "server" => %server.identity.name, "incarnation" => server.identity.incarnation,
+        "zone" => topology.zone_name(server.zone).map(|zone| zone.as_str()),
+        "arbiter" => grant.arbiter().unwrap_or(&state.settings.host).as_str(),
+        "borrowed" => server.is_borrowed(), "leaving" => server.is_leaving(),
+        "version" => state.snapshot().table.as_ref().map(|table| table.version));
+}
+
 impl Failure {
     fn unsent(refusal: Refusal, retry_after: Option<Duration>) -> Failure {
         Failure { refusal, outcome: Outcome::NotRun, server: None, answer: None, retry_after }
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -7,7 +7,7 @@
 use oleanderspan::{
     availability::Topology,
     backend::{self, Object, ReuseDistance, Server, pool::Criteria, server::Identity},
-    entry::roster::Peer,
+    entry::{self, roster::Peer},
     prelude::*,
     region,
     request::{Refusal, admission::TimeLeft},
@@ -47,6 +47,8 @@
     Remote {
         /// The server whose slot is held.
         server: Arc<Server>,
+        /// The host that allocated the slot.
+        arbiter: entry::Name,
         /// The open response of the arbiter; dropping it releases the slot.
         response_body: Incoming,
         /// Reuse distance of the request's object on the server; `None` without an object.
@@ -63,6 +65,14 @@
         }
     }
 
+    /// The host that allocated the slot; `None` for this host.
+    pub fn arbiter(&self) -> Option<&entry::Name> {
+        match self {
+            Grant::Local(_) => None,
+            Grant::Remote { arbiter, .. } => Some(arbiter),
+        }
+    }
+
     /// Reuse distance of the request's object on the server; `None` without an object.
     pub fn reuse_distance(&self) -> Option<ReuseDistance> {
         match self {
@@ -208,7 +218,8 @@
     let reuse_distance = names::number(answer.headers(), &names::REUSE_DISTANCE);
     let reuse_distance =
         reuse_distance.and_then(|others| u8::try_from(others).ok()).map(ReuseDistance::from_number);
-    Ok(Grant::Remote { server, response_body: answer.into_body(), reuse_distance })
+    let arbiter = peer.name.clone();
+    Ok(Grant::Remote { server, arbiter, response_body: answer.into_body(), reuse_distance })
 }
 
 /// Inserts the headers that identify the server of an allocated slot.
--- a/crates/node/src/gateway/page.rs
+++ b/crates/node/src/gateway/page.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     fmt::Write as _,
     io,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, PoisonError, atomic::Ordering},
 };
 
 use cadence::{Gauged, MetricSink, StatsdClient};
@@ -52,6 +52,13 @@
     }
     let version = snapshot.table.as_ref().map_or(0, |table| table.version);
     let _ = client.gauge("gateway.routes_version", version);
+    let counts = [
+        ("gateway.outside_homes", &state.outside_homes),
+        ("gateway.foreign_lookups", &state.foreign_lookups),
+    ];
+    for (name, count) in counts {
+        let _ = client.gauge(name, count.load(Ordering::Relaxed));
+    }
     let _ = client.gauge("log.dropped", log::dropped());
     drop(client);
     let lines = collected.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! The state that the tasks of a gateway share, and the snapshot of it that requests read.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64};
 
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
@@ -17,7 +17,7 @@
     route::{Route, Table},
     service,
 };
-use slog::Logger;
+use slog::{Logger, debug};
 
 use crate::{
     clock::Monotonic,
@@ -73,6 +73,10 @@
     pub counters: Counters,
     /// Progress of a planned stop.
     pub stop: Stop,
+    /// Number of slots granted outside the home regions of their request's route.
+    pub outside_homes: AtomicU64,
+    /// Number of lookups of hosts by clients of other regions.
+    pub foreign_lookups: AtomicU64,
     /// Observations about servers whose slots other hosts hand out, to be sent to these hosts.
     pub reports: SegQueue<ServerReport>,
     feeds: [Feed; Topic::ALL.len()],
@@ -143,6 +147,8 @@
             log,
             counters: Counters::new(),
             stop: Stop::default(),
+            outside_homes: AtomicU64::new(0),
+            foreign_lookups: AtomicU64::new(0),
             reports: SegQueue::new(),
             feeds: std::array::from_fn(|_| Feed::default()),
             snapshot: ArcSwap::default(),
@@ -169,6 +175,9 @@
         if change(&mut view, now) {
             let snapshot = view.snapshot(&self.settings, now);
             self.snapshot.store(Arc::new(snapshot));
+            debug!(self.log, "snapshot published"; "servers" => view.listing.len(),
+                "borrowed" => view.borrowed_servers(now),
+                "build_us" => self.clock.now().since(now).as_micros());
         }
     }
 
@@ -213,6 +222,11 @@
         }
     }
 
+    /// Number of servers with borrowed slots, over all services that this host dispatches.
+    fn borrowed_servers(&self, now: Instant) -> usize {
+        self.books.values().map(|service_loans| service_loans.borrowed(now).count()).sum()
+    }
+
     fn snapshot(&mut self, settings: &Settings, now: Instant) -> Snapshot {
         let servers = self.apply_server_flags(now);
         self.update_pools(settings, &servers, now);
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -239,7 +239,7 @@
             table.inherit_observations(before);
         }
         info!(state.log, "routes in force"; "version" => table.version, "before" => old,
-            "routes" => table.len());
+            "routes" => table.len(), "bound_routes" => table.bound_routes());
         view.table = Some(Arc::new(table));
         true
     });
--- a/crates/oleanderspan/src/availability/topology.rs
+++ b/crates/oleanderspan/src/availability/topology.rs
@@ -44,6 +44,11 @@
         u16::try_from(position).ok().map(region::Index)
     }
 
+    /// The name of a region, or `None` if the index is unknown.
+    pub fn region_name(&self, region: region::Index) -> Option<&region::Name> {
+        self.regions.get(usize::from(region.0))
+    }
+
     /// All regions in the order of their indices.
     pub fn regions(&self) -> impl Iterator<Item = (region::Index, &region::Name)> {
         (0u16..).map(region::Index).zip(&self.regions)
--- a/crates/oleanderspan/src/route/table.rs
+++ b/crates/oleanderspan/src/route/table.rs
@@ -40,6 +40,11 @@
         self.hosts.values().map(Vec::len).sum()
     }
 
+    /// The number of routes that only some regions may serve.
+    pub fn bound_routes(&self) -> usize {
+        self.hosts.values().flatten().filter(|route| !route.homes.is_empty()).count()
+    }
+
     /// Whether there are no routes.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
