Decide by a server's region, not by a mark, who may borrow it

What callers saw: requests on routes with home regions ran on servers of another region.

Change: a server has its location, zone and region, from its construction on. A request names the only region that may run it, a pool the region that it serves; borrowed is what lies elsewhere. The mark is gone. An entry that names another zone for a known start is another server. The pool's test of bound requests now builds the other server in another region, where it set the mark before; it asserts the same.

--- a/crates/lab/src/measure/policy/pooled.rs
+++ b/crates/lab/src/measure/policy/pooled.rs
@@ -7,6 +7,7 @@
     backend::{self, Pool, Server, Waiter},
     entry::rank,
     prelude::*,
+    region,
 };
 
 use crate::measure::{
@@ -211,6 +212,9 @@
     let identity = backend::server::Identity { name, incarnation: 1 };
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, server as u16));
     let location = topology.servers[server];
-    let zone = availability::Index((location.region * 2 + location.zone) as u16);
-    Arc::new(Server::new(identity, address, zone, slots))
+    let location = availability::Location {
+        zone: availability::Index((location.region * 2 + location.zone) as u16),
+        region: region::Index(location.region as u16),
+    };
+    Arc::new(Server::new(identity, address, location, slots))
 }
--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -114,7 +114,7 @@
         let criteria = Criteria {
             object: request.object.map(Object::from_hash),
             excluded,
-            is_bound: request.is_bound,
+            region: request.is_bound.then_some(state.settings.region),
         };
         slots::acquire(&pool, state.clock, request.priority, time, criteria).await
     }
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -185,7 +185,7 @@
         criteria: Criteria {
             object: call.object,
             excluded,
-            is_bound: !call.route.homes.is_empty(),
+            region: call.route.is_bound().then_some(region),
         },
     };
     let grant = grant::acquire(state, &requirements).await;
@@ -236,7 +236,7 @@
 /// Logs and counts a slot of a server that is outside the home regions of the request's route.
 fn report_outside_homes(state: &Shared, call: &Call<'_>, grant: &Grant, server: &Server) {
     let topology = &state.settings.topology;
-    let region = topology.region_of(server.zone).and_then(|region| topology.region_name(region));
+    let region = topology.region_name(server.location.region);
     if region.is_some_and(|region| call.route.allows(region)) {
         return;
     }
@@ -244,9 +244,9 @@
     warn!(state.log, "slot granted outside the home regions of the route";
         "request" => call.id, "route" => &*call.route.name, "service" => %call.service,
         "server" => %server.identity.name, "incarnation" => server.identity.incarnation,
-        "zone" => topology.zone_name(server.zone).map(|zone| zone.as_str()),
+        "zone" => topology.zone_name(server.location.zone).map(|zone| zone.as_str()),
         "arbiter" => grant.arbiter().unwrap_or(&state.settings.host).as_str(),
-        "borrowed" => server.is_borrowed(), "leaving" => server.is_leaving(),
+        "borrowed" => server.location.region != state.settings.region, "leaving" => server.is_leaving(),
         "version" => state.snapshot().table.as_ref().map(|table| table.version));
 }
 
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -183,7 +183,7 @@
         deadline_ms: millis(time.deadline),
         object: criteria.object.map(Object::hash),
         excluded: criteria.excluded.as_ref().map(|name| name.to_string()),
-        is_bound: criteria.is_bound,
+        is_bound: criteria.region.is_some(),
         reports,
     };
     let request = message::request(peer.address, SLOT_PATH, &message).map_err(no_answer)?;
@@ -208,7 +208,7 @@
         None => {
             let view = state.view();
             view.listing.was_removed(&granted_server.identity.name)
-                || view.evacuated.contains(&granted_server.zone)
+                || view.evacuated.contains(&granted_server.location.zone)
         }
     };
     if is_unusable {
@@ -236,7 +236,7 @@
     headers.insert(names::SERVER_ADDRESS, names::value(&server.address.to_string()));
     let incarnation = server.identity.incarnation.to_string();
     headers.insert(names::SERVER_INCARNATION, names::value(&incarnation));
-    let zone = topology.zone_name(server.zone).map_or("", |zone| zone.as_str());
+    let zone = topology.zone_name(server.location.zone).map_or("", |zone| zone.as_str());
     headers.insert(names::SERVER_ZONE, names::value(zone));
 }
 
@@ -246,10 +246,10 @@
     let name = backend::Name::try_from(names::text(headers, &names::SERVER)?).ok()?;
     let incarnation = names::number(headers, &names::SERVER_INCARNATION)?;
     let address = names::text(headers, &names::SERVER_ADDRESS)?.parse().ok()?;
-    let (zone, _) = topology.find_zone(names::text(headers, &names::SERVER_ZONE)?)?;
+    let location = topology.find_location(names::text(headers, &names::SERVER_ZONE)?)?;
     // The arbiter counts the server's slots; here it stands for the one that was granted.
     let slots = 1;
-    Some(Server::new(Identity { name, incarnation }, address, zone, slots))
+    Some(Server::new(Identity { name, incarnation }, address, location, slots))
 }
 
 /// Records the outcome of an attempt in the local pool, and queues a report for the arbiter if it
--- a/crates/node/src/gateway/lending.rs
+++ b/crates/node/src/gateway/lending.rs
@@ -2,7 +2,7 @@
 
 use http::StatusCode;
 use oleanderspan::{
-    backend,
+    backend::{self, Server},
     entry::{rank, roster::Peer},
     prelude::*,
     region::{
@@ -144,7 +144,8 @@
 fn capacity_report(state: &Shared, snapshot: &Snapshot, service: &service::Name) -> CapacityReport {
     let pool = snapshot.pool(service, state.settings.region);
     let servers = pool.map(|pool| pool.servers()).unwrap_or_default();
-    let own = servers.iter().filter(|server| is_usable(server) && !server.is_borrowed());
+    let is_own = |server: &Server| server.location.region == state.settings.region;
+    let own = servers.iter().filter(|server| is_usable(server) && is_own(server));
     let latency = pool.map(|pool| pool.mean_latency()).unwrap_or_default();
     let demand = snapshot.demand(service).filter(|demand| demand.is_reliable());
     CapacityReport {
@@ -163,9 +164,10 @@
     let now = state.clock.now();
     let pool = snapshot.pool(service, state.settings.region);
     let servers = pool.map(|pool| pool.servers()).unwrap_or_default();
+    let is_own = |server: &Server| server.location.region == state.settings.region;
     let servers = servers
         .iter()
-        .filter(|server| is_usable(server) && !server.is_borrowed() && !server.cold().is_cold(now));
+        .filter(|server| is_usable(server) && is_own(server) && !server.cold().is_cold(now));
     servers.map(|server| (server.identity.name.clone(), server.slots())).collect()
 }
 
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -210,8 +210,9 @@
     /// become cold in the meantime, and report it only some time later.
     pub fn limit_after_evacuation(&mut self, zone: availability::Index, now: Instant) {
         let Some(table) = &self.table else { return };
+        let is_in_zone = |listed_server: &ListedServer| listed_server.entry.location.zone == zone;
         for (_, listed_server) in
-            self.listing.iter().filter(|(_, listed_server)| listed_server.entry.zone == zone)
+            self.listing.iter().filter(|(_, listed_server)| is_in_zone(listed_server))
         {
             if let Some(service) = table.service(&listed_server.entry.service) {
                 listed_server
@@ -242,12 +243,12 @@
         }
     }
 
-    /// Sets the evacuation and cold-start state of each server, and clears its borrowed flag.
+    /// Sets the evacuation and cold-start state of each server.
     fn apply_server_flags(&self, now: Instant) -> Map<backend::Name, Arc<Server>> {
         let apply = |(name, listed_server): (&backend::Name, &ListedServer)| {
             let server = &listed_server.server;
-            server.set_evacuated(self.evacuated.contains(&listed_server.entry.zone));
-            server.set_borrowed(false);
+            let zone = listed_server.entry.location.zone;
+            server.set_evacuated(self.evacuated.contains(&zone));
             let table = self.table.as_ref();
             if let Some(service) =
                 table.and_then(|table| table.service(&listed_server.entry.service))
@@ -274,9 +275,7 @@
         let known = self.pools.keys().map(|service| (service.clone(), empty()));
         let mut lists: Map<service::Name, Vec<Vec<Arc<Server>>>> = known.collect();
         for (_, listed_server) in self.listing.iter() {
-            let Some(region) = settings.topology.region_of(listed_server.entry.zone) else {
-                continue;
-            };
+            let region = listed_server.entry.location.region;
             let list = lists.entry(listed_server.entry.service.clone()).or_insert_with(empty);
             list[usize::from(region.0)].push(Arc::clone(&listed_server.server));
         }
@@ -285,8 +284,8 @@
                 apply_loans(own, self.books.get(&service), servers, now);
             }
             let pools = self.pools.entry(service).or_insert_with(|| {
-                let pool = || Arc::new(Pool::with_overload(OverloadPolicy::ServeUntilLimit));
-                std::iter::repeat_with(pool).take(regions).collect()
+                let pool = |region| Pool::for_region(region, OverloadPolicy::ServeUntilLimit);
+                settings.topology.regions().map(|(region, _)| Arc::new(pool(region))).collect()
             });
             for (pool, mut list) in pools.iter().zip(by_region) {
                 list.sort_by(|a, b| a.identity.cmp(&b.identity));
@@ -328,7 +327,6 @@
         service_loans.into_iter().flat_map(|service_loans| service_loans.borrowed(now))
     {
         let Some(server) = servers.get(name) else { continue };
-        server.set_borrowed(true);
         server.set_reserved(server.slots().saturating_sub(slots));
         own.push(Arc::clone(server));
     }
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -342,15 +342,15 @@
 fn validate(state: &State, raw: Server) -> Result<listing::Entry, String> {
     let service = service::Name::try_from(raw.service.as_str());
     let service = service.map_err(|error| format!("service: {error}"))?;
-    let (zone, _) = state
+    let location = state
         .settings
         .topology
-        .find_zone(&raw.zone)
+        .find_location(&raw.zone)
         .ok_or_else(|| format!("zone: unknown zone {:?}", raw.zone))?;
     Ok(listing::Entry {
         service,
         address: raw.address,
-        zone,
+        location,
         slots: raw.slots,
         is_leaving: raw.is_leaving,
         cold_left: raw.cold_left,
--- a/crates/oleanderspan/benches/placement.rs
+++ b/crates/oleanderspan/benches/placement.rs
@@ -8,16 +8,20 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use oleanderspan::{
-    availability,
+    availability::{self, Location},
     backend::{
         Name, Object, Pool, ReuseDistance, Server, Waiter,
         pool::{Criteria, OverloadPolicy, Placement, Rank},
         server::Identity,
     },
     prelude::*,
+    region,
     request::admission::{self, Load, TimeLeft},
 };
 
+/// Where the servers run.
+const LOCATION: Location = Location { zone: availability::Index(0), region: region::Index(0) };
+
 const SLOTS: u32 = 5;
 const WAITERS: usize = 1_000;
 
@@ -40,7 +44,7 @@
         let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, number));
         let identity = Identity { name, incarnation: 1 };
-        Arc::new(Server::new(identity, address, availability::Index(0), SLOTS))
+        Arc::new(Server::new(identity, address, LOCATION, SLOTS))
     };
     pool.update((1..=servers).map(server).collect(), u32::MAX);
     for (i, server) in (0..).zip(pool.servers().iter()) {
--- a/crates/oleanderspan/src/availability.rs
+++ b/crates/oleanderspan/src/availability.rs
@@ -14,6 +14,14 @@
 key! {
     /// The position of a zone in its document, from 0.
     pub struct Index(pub u16);
+
+    /// The zone of a server and the region that contains it.
+    pub struct Location {
+        /// The availability zone.
+        pub zone: Index,
+        /// The region of the zone.
+        pub region: region::Index,
+    }
 }
 
 value! {
--- a/crates/oleanderspan/src/availability/topology.rs
+++ b/crates/oleanderspan/src/availability/topology.rs
@@ -1,6 +1,9 @@
 //! The zones and regions in the settings of a host.
 
-use crate::{availability, region};
+use crate::{
+    availability::{self, Location},
+    region,
+};
 
 /// All zones and regions, with the region of each zone.
 #[derive(Clone, Debug, Default)]
@@ -28,16 +31,16 @@
         Some((index, self.zones[position].1))
     }
 
+    /// Finds the location of a server in a zone by the name of the zone.
+    pub fn find_location(&self, zone: &str) -> Option<Location> {
+        self.find_zone(zone).map(|(zone, region)| Location { zone, region })
+    }
+
     /// The name of a zone, or `None` if the index is unknown.
     pub fn zone_name(&self, zone: availability::Index) -> Option<&availability::Name> {
         self.zones.get(usize::from(zone.0)).map(|(name, _)| name)
     }
 
-    /// The region of a zone, or `None` if the index is unknown.
-    pub fn region_of(&self, zone: availability::Index) -> Option<region::Index> {
-        self.zones.get(usize::from(zone.0)).map(|(_, region)| *region)
-    }
-
     /// Finds the index of a region by name.
     pub fn find_region(&self, name: &str) -> Option<region::Index> {
         let position = self.regions.iter().position(|known| known.as_str() == name)?;
--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -4,7 +4,7 @@
 //! Entries may arrive late, twice, out of order or not at all; see `docs/PLATFORM.md`, "Instances".
 
 use crate::{
-    availability,
+    availability::Location,
     backend::{self, Server, cold, server::Identity},
     prelude::*,
     service,
@@ -26,8 +26,8 @@
         pub service: service::Name,
         /// The address that requests are sent to.
         pub address: SocketAddr,
-        /// The availability zone of the server.
-        pub zone: availability::Index,
+        /// Where the server runs.
+        pub location: Location,
         /// Number of requests that the server runs concurrently.
         pub slots: u32,
         /// Whether the server is about to stop.
@@ -95,6 +95,7 @@
             }
             if same_start
                 && listed_server.entry.address == entry.address
+                && listed_server.entry.location == entry.location
                 && listed_server.entry.slots == entry.slots
             {
                 listed_server.expires = None;
@@ -102,7 +103,7 @@
             }
         }
         let identity = Identity { name: name.clone(), incarnation: entry.born_millis };
-        let server = Server::new(identity, entry.address, entry.zone, entry.slots);
+        let server = Server::new(identity, entry.address, entry.location, entry.slots);
         if entry.is_leaving {
             server.mark_leaving();
         }
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -15,7 +15,7 @@
     backend::{CacheModel, Object, ReuseDistance, Server},
     entry::rank,
     prelude::*,
-    region::Limiter,
+    region::{self, Limiter},
 };
 
 use locality::ServerQueue;
@@ -65,6 +65,8 @@
 /// lock: the queues and all counts are atomics, and each waiter is woken by its own signal.
 #[derive(Debug)]
 pub struct Pool<W> {
+    /// The region whose servers are preferred; `None` if all are equally near.
+    region: Option<region::Index>,
     members: ArcSwap<Members<W>>,
     limiter: Limiter,
     queues: [SegQueue<QueuedWaiter<W>>; RANKS],
@@ -115,7 +117,17 @@
 
     /// A pool without servers.
     pub fn with_overload(overload: OverloadPolicy) -> Pool<W> {
+        Pool::build(None, overload)
+    }
+
+    /// A pool without servers for the requests of a region, which may borrow servers of others.
+    pub fn for_region(region: region::Index, overload: OverloadPolicy) -> Pool<W> {
+        Pool::build(Some(region), overload)
+    }
+
+    fn build(region: Option<region::Index>, overload: OverloadPolicy) -> Pool<W> {
         Pool {
+            region,
             members: ArcSwap::default(),
             limiter: Limiter::new(0),
             queues: [const { SegQueue::new() }; RANKS],
@@ -152,6 +164,11 @@
         Arc::clone(&self.members.load().servers)
     }
 
+    /// Whether the slots of a server are borrowed from another region.
+    pub fn is_borrowed(&self, server: &Server) -> bool {
+        self.region.is_some_and(|region| region != server.location.region)
+    }
+
     /// The limit and the count of requests in flight.
     pub fn limiter(&self) -> &Limiter {
         &self.limiter
@@ -322,8 +339,8 @@
             let granted = match self.next_waiter(now) {
                 Some(queued) => {
                     let server = self.swap_for_preferred(server, &queued.criteria, now);
-                    if queued.criteria.is_bound && server.is_borrowed() {
-                        // Only borrowed slots are free; the waiter keeps its limit but moves behind
+                    if !queued.criteria.allows_region_of(&server) {
+                        // Only slots of other regions are free; the waiter keeps its limit but moves behind
                         // its rank.
                         server.release_slot();
                         self.limiter.release();
@@ -478,7 +495,7 @@
             let is_known = reuse_distance
                 .is_some_and(|reuse_distance| self.cache_model.is_cached(reuse_distance));
             // A server used by two regions has to cache the objects of both.
-            let is_near = (!server.is_borrowed(), !server.is_shared());
+            let is_near = (!self.is_borrowed(server), !server.is_shared());
             let speed = (!server.is_suspect(), self.is_fast(server));
             let eviction_age = if object.is_some() { self.eviction_age(server, now) } else { 0 };
             // The last free slot is kept for requests whose object the server has cached.
--- a/crates/oleanderspan/src/backend/pool/waiting.rs
+++ b/crates/oleanderspan/src/backend/pool/waiting.rs
@@ -3,6 +3,7 @@
 use crate::{
     backend::{self, Object, Server},
     prelude::*,
+    region,
 };
 
 /// A request that waits for a slot.
@@ -52,14 +53,19 @@
     pub object: Option<Object>,
     /// A server on which the request has failed, not to be used again.
     pub excluded: Option<backend::Name>,
-    /// Whether the request must not be sent to a server borrowed from another region.
-    pub is_bound: bool,
+    /// The only region whose servers may run the request; `None` if any may.
+    pub region: Option<region::Index>,
 }
 
 impl Criteria {
     pub(super) fn allows(&self, server: &Server) -> bool {
-        self.excluded.as_ref() != Some(&server.identity.name)
-            && !(self.is_bound && server.is_borrowed())
+        self.excluded.as_ref() != Some(&server.identity.name) && self.allows_region_of(server)
+    }
+
+    /// Whether the request may run in the server's region. Unlike `excluded`, this is binding even
+    /// if no other server has a free slot.
+    pub fn allows_region_of(&self, server: &Server) -> bool {
+        self.region.is_none_or(|region| region == server.location.region)
     }
 }
 
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    availability,
+    availability::Location,
     backend::{
         self, cold,
         recent_objects::{Object, RecentObjects, ReuseDistance},
@@ -41,8 +41,8 @@
     pub identity: Identity,
     /// The address that requests are sent to.
     pub address: SocketAddr,
-    /// The availability zone of the server.
-    pub zone: availability::Index,
+    /// Where the server runs; it never moves.
+    pub location: Location,
     slots: u32,
     in_flight: AtomicU32,
     leaving: AtomicBool,
@@ -51,7 +51,6 @@
     answered_at: AtomicU64,
     cold: cold::Limiter,
     evacuated: AtomicBool,
-    borrowed: AtomicBool,
     reserved: AtomicU32,
     avoided_until: AtomicU64,
     /// Allocated with the first object, as most servers receive no requests that have one.
@@ -60,16 +59,11 @@
 
 impl Server {
     /// A server with `slots` slots and no recorded answers.
-    pub fn new(
-        identity: Identity,
-        address: SocketAddr,
-        zone: availability::Index,
-        slots: u32,
-    ) -> Server {
+    pub fn new(identity: Identity, address: SocketAddr, location: Location, slots: u32) -> Server {
         Server {
             identity,
             address,
-            zone,
+            location,
             slots,
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
@@ -78,7 +72,6 @@
             answered_at: AtomicU64::new(0),
             cold: cold::Limiter::warm(),
             evacuated: AtomicBool::new(false),
-            borrowed: AtomicBool::new(false),
             reserved: AtomicU32::new(0),
             avoided_until: AtomicU64::new(0),
             objects: OnceLock::new(),
@@ -139,16 +132,6 @@
         now.as_nanos() < self.avoided_until.load(Ordering::Relaxed)
     }
 
-    /// Sets whether the server's slots are borrowed from another region.
-    pub fn set_borrowed(&self, borrowed: bool) {
-        self.borrowed.store(borrowed, Ordering::SeqCst);
-    }
-
-    /// Whether the server's slots are borrowed from another region.
-    pub fn is_borrowed(&self) -> bool {
-        self.borrowed.load(Ordering::SeqCst)
-    }
-
     /// The rate limit that applies while the server is cold.
     pub fn cold(&self) -> &cold::Limiter {
         &self.cold
--- a/crates/oleanderspan/src/route.rs
+++ b/crates/oleanderspan/src/route.rs
@@ -40,9 +40,14 @@
 }
 
 impl Route {
+    /// Whether only the home regions may serve this route.
+    pub fn is_bound(&self) -> bool {
+        !self.homes.is_empty()
+    }
+
     /// Whether servers of `region` may serve this route.
     pub fn allows(&self, region: &region::Name) -> bool {
-        self.homes.is_empty() || self.homes.contains(region)
+        !self.is_bound() || self.homes.contains(region)
     }
 }
 
--- a/crates/oleanderspan/src/route/table.rs
+++ b/crates/oleanderspan/src/route/table.rs
@@ -42,7 +42,7 @@
 
     /// The number of routes that only some regions may serve.
     pub fn bound_routes(&self) -> usize {
-        self.hosts.values().flatten().filter(|route| !route.homes.is_empty()).count()
+        self.hosts.values().flatten().filter(|route| route.is_bound()).count()
     }
 
     /// Whether there are no routes.
--- a/crates/oleanderspan/src/snapshot.rs
+++ b/crates/oleanderspan/src/snapshot.rs
@@ -5,6 +5,7 @@
 //! neither loses requests in flight nor blocks a request.
 
 use crate::{
+    availability::Location,
     backend::{self, Pool, Server, Waiter},
     caller, document,
     entry::{self, Answer, Directory, Host, host::State, rank},
@@ -406,12 +407,10 @@
             };
             let server = known.iter().find(is_same_server).cloned().unwrap_or_else(|| {
                 let identity = listed_server.identity.clone();
-                Arc::new(Server::new(
-                    identity,
-                    listed_server.address,
-                    listed_server.zone,
-                    service.slots,
-                ))
+                let zone = listed_server.zone;
+                let region = document.zones[usize::from(zone.0)].region;
+                let location = Location { zone, region };
+                Arc::new(Server::new(identity, listed_server.address, location, service.slots))
             });
             if listed_server.leaving || is_drained(document, listed_server) {
                 server.mark_leaving();
--- a/crates/oleanderspan/tests/admission.rs
+++ b/crates/oleanderspan/tests/admission.rs
@@ -6,13 +6,14 @@
 use std::{cell::RefCell, net::Ipv4Addr, rc::Rc};
 
 use oleanderspan::{
-    availability,
+    availability::{self, Location},
     backend::{
         CacheModel, Name, Object, Pool, ReuseDistance, Server, Waiter,
         pool::{Criteria, OverloadPolicy, Rank},
         server::Identity,
     },
     prelude::*,
+    region,
     request::admission::{self, Decision, Load, TimeLeft},
 };
 
@@ -114,11 +115,18 @@
     }
 }
 
+const REGION: region::Index = region::Index(0);
+
 fn server(number: u16, slots: u32) -> Arc<Server> {
+    server_in(REGION, number, slots)
+}
+
+fn server_in(region: region::Index, number: u16, slots: u32) -> Arc<Server> {
     let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, number));
     let identity = Identity { name, incarnation: 1 };
-    Arc::new(Server::new(identity, address, availability::Index(0), slots))
+    let location = Location { zone: availability::Index(region.0), region };
+    Arc::new(Server::new(identity, address, location, slots))
 }
 
 /// Simulates one minute at 150 % of capacity. Without admission control nearly all requests wait
@@ -221,11 +229,10 @@
 #[test]
 fn bound_request_waits_for_a_server_of_its_region() {
     let granted = Rc::default();
-    let pool: Pool<Ticket> = Pool::with_overload(OverloadPolicy::ServeUntilLimit);
-    let (own, other) = (server(1, 1), server(2, 1));
-    other.set_borrowed(true);
+    let pool: Pool<Ticket> = Pool::for_region(REGION, OverloadPolicy::ServeUntilLimit);
+    let (own, other) = (server(1, 1), server_in(region::Index(1), 2, 1));
     pool.update(vec![Arc::clone(&own), Arc::clone(&other)], u32::MAX);
-    let bound = Criteria { is_bound: true, ..Criteria::default() };
+    let bound = Criteria { region: Some(REGION), ..Criteria::default() };
     let near = pool.try_acquire_for(&bound, at(0)).unwrap();
     assert_eq!(near.identity, own.identity);
     assert!(pool.try_acquire_for(&bound, at(0)).is_none());
--- a/crates/oleanderspan/tests/listing.rs
+++ b/crates/oleanderspan/tests/listing.rs
@@ -5,13 +5,13 @@
 use std::net::Ipv4Addr;
 
 use oleanderspan::{
-    availability,
+    availability::{self, Location},
     backend::{
         self, Listing, cold,
         listing::{Change, Entry},
     },
     prelude::*,
-    service,
+    region, service,
 };
 
 fn at(millis: u64) -> Instant {
@@ -26,7 +26,7 @@
     Entry {
         service: service::Name::try_from("stock").unwrap(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000)),
-        zone: availability::Index(0),
+        location: Location { zone: availability::Index(0), region: region::Index(0) },
         slots: 4,
         is_leaving: false,
         cold_left: Duration::ZERO,
--- a/crates/oleanderspan/tests/locality.rs
+++ b/crates/oleanderspan/tests/locality.rs
@@ -6,16 +6,20 @@
 use std::{cell::RefCell, net::Ipv4Addr, rc::Rc};
 
 use oleanderspan::{
-    availability,
+    availability::{self, Location},
     backend::{
         CacheModel, Name, Object, Pool, ReuseDistance, Server, Waiter,
         pool::{Criteria, OverloadPolicy, Placement, Rank},
         server::Identity,
     },
     prelude::*,
+    region,
     request::admission::{self, TimeLeft},
 };
 
+/// Where the servers run.
+const LOCATION: Location = Location { zone: availability::Index(0), region: region::Index(0) };
+
 const KNOWN: Duration = Duration::from_millis(100);
 const UNKNOWN: Duration = Duration::from_millis(400);
 /// Number of objects that each simulated server caches.
@@ -33,7 +37,7 @@
     let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, number));
     let identity = Identity { name, incarnation: 1 };
-    Arc::new(Server::new(identity, address, availability::Index(0), SLOTS))
+    Arc::new(Server::new(identity, address, LOCATION, SLOTS))
 }
 
 fn pool() -> Pool<Ticket> {
--- a/crates/oleanderspan/tests/pool.rs
+++ b/crates/oleanderspan/tests/pool.rs
@@ -5,9 +5,10 @@
 use std::{cell::RefCell, net::Ipv4Addr, rc::Rc};
 
 use oleanderspan::{
-    availability,
+    availability::{self, Location},
     backend::{Name, Pool, Server, Waiter, server::Identity},
     prelude::*,
+    region,
 };
 
 #[derive(Debug, PartialEq)]
@@ -29,6 +30,9 @@
     }
 }
 
+/// Where the servers run.
+const LOCATION: Location = Location { zone: availability::Index(0), region: region::Index(0) };
+
 const LIMIT: Duration = Duration::from_secs(2);
 
 fn at(millis: u64) -> Instant {
@@ -39,7 +43,7 @@
     let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, number));
     let identity = Identity { name, incarnation: 1 };
-    Arc::new(Server::new(identity, address, availability::Index(0), slots))
+    Arc::new(Server::new(identity, address, LOCATION, slots))
 }
 
 #[test]
