Check a granted server's region on the host that sends the request

What callers would see: requests with home regions on servers of other regions, for as long as an arbiter of another build or with other settings has another idea of where a server is. Cause: the sending host took the arbiter's word for it; only the arbiter looked at regions. Change: a server outside the request's region is excluded and another slot asked for; right before a request is sent, its route must allow the server's region, else it is refused as not run, logged and counted.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -193,7 +193,10 @@
         .map_err(|AcquireError { refusal, retry_after }| Failure::unsent(refusal, retry_after))?;
     let server = grant.server().cloned();
     let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
-    report_outside_homes(state, call, &grant, &server);
+    if !is_in_homes(state, call.route, &server) {
+        report_outside_homes(state, call, &grant, &server);
+        return Err(Failure::unsent(Refusal::NoServer, None));
+    }
     let sent_at = state.clock.now();
     let remaining = call.deadline.remaining(sent_at);
     let remaining = remaining.ok_or_else(|| Failure::unsent(Refusal::Expired, None))?;
@@ -233,15 +236,18 @@
     }
 }
 
+/// Whether a route may be served by this server. Checked again right before a request is sent, as
+/// other hosts may disagree about the region of a server.
+fn is_in_homes(state: &Shared, route: &Route, server: &Server) -> bool {
+    let region = state.settings.topology.region_name(server.location.region);
+    region.is_some_and(|region| route.allows(region))
+}
+
 /// Logs and counts a slot of a server that is outside the home regions of the request's route.
 fn report_outside_homes(state: &Shared, call: &Call<'_>, grant: &Grant, server: &Server) {
     let topology = &state.settings.topology;
-    let region = topology.region_name(server.location.region);
-    if region.is_some_and(|region| call.route.allows(region)) {
-        return;
-    }
     state.outside_homes.fetch_add(1, Ordering::Relaxed);
-    warn!(state.log, "slot granted outside the home regions of the route";
+    warn!(state.log, "slot granted outside the home regions of the route; refusing the request";
         "request" => call.id, "route" => &*call.route.name, "service" => %call.service,
         "server" => %server.identity.name, "incarnation" => server.identity.incarnation,
         "zone" => topology.zone_name(server.location.zone).map(|zone| zone.as_str()),
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -147,6 +147,12 @@
                 });
                 criteria.excluded = Some(server);
             }
+            Err(Failure::OutsideRegion(server)) => {
+                warn!(state.log, "arbiter granted a server outside the request's region; \
+                    excluding it"; "request" => requirements.id, "server" => %server,
+                    "host" => %peer.name);
+                criteria.excluded = Some(server);
+            }
             Err(Failure::NoAnswer(reason)) => {
                 warn!(state.log, "slot request to the arbiter failed; recording a failure";
                     "request" => requirements.id, "host" => %peer.name, "reason" => reason);
@@ -161,7 +167,10 @@
 #[derive(Debug)]
 enum Failure {
     Rejected(AcquireError),
+    /// The server is leaving, gone or evacuated.
     Unusable(backend::Name),
+    /// The server is not in the only region that may run the request.
+    OutsideRegion(backend::Name),
     NoAnswer(String),
 }
 
@@ -215,6 +224,9 @@
         return Err(Failure::Unusable(granted_server.identity.name));
     }
     let server = known.unwrap_or_else(|| Arc::new(granted_server));
+    if !criteria.allows_region_of(&server) {
+        return Err(Failure::OutsideRegion(server.identity.name.clone()));
+    }
     let reuse_distance = names::number(answer.headers(), &names::REUSE_DISTANCE);
     let reuse_distance =
         reuse_distance.and_then(|others| u8::try_from(others).ok()).map(ReuseDistance::from_number);
