Make the slots of a returned loan usable in their own region again

What callers see: requests whose home is another region are refused although servers there are free. Cause: a host that borrowed a part of a server went on withholding the rest of it in that region's pool after the loan had ended; it uses this pool, with its own counts, for requests whose home is that region. Change: servers of other regions that are not borrowed have no reserved slots, set after the pools are updated, as until then the borrowing pool still has these servers.

--- a/crates/node/src/gateway/lending.rs
+++ b/crates/node/src/gateway/lending.rs
@@ -46,6 +46,14 @@
         valid.flat_map(|borrowed| &borrowed.slots).map(|(name, slots)| (name, *slots))
     }
 
+    /// Records the slots that another region lends, which replace those it lent before; returns
+    /// whether the usable slots change.
+    pub fn record_borrowed(&mut self, lender: region::Index, slots: Slots, now: Instant) -> bool {
+        let expires = now + loan::TTL;
+        let before = self.borrowed.insert(lender, Borrowed { slots: slots.clone(), expires });
+        before.is_none_or(|before| before.slots != slots || before.expires <= now)
+    }
+
     fn capacity_reports(
         &self,
         own: region::Index,
@@ -213,11 +221,7 @@
     state.update(|view, now| {
         let Some(service_loans) = view.books.get_mut(&service) else { return false };
         record_capacity(service_loans, region, &answer, now);
-        let slots = from_wire(&answer.loans);
-        let before = service_loans
-            .borrowed
-            .insert(region, Borrowed { slots: slots.clone(), expires: now + loan::TTL });
-        before.is_none_or(|before| before.slots != slots || before.expires <= now)
+        service_loans.record_borrowed(region, from_wire(&answer.loans), now)
     });
 }
 
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -293,6 +293,23 @@
                 pool.update(list, u32::MAX);
             }
         }
+        self.free_returned_slots(settings.region, now);
+    }
+
+    /// Makes all slots of servers in other regions usable there once their loan has ended. Must
+    /// follow the update of the pools: until then, the own region's pool still has these servers.
+    fn free_returned_slots(&self, own: region::Index, now: Instant) {
+        let borrowed: Set<&backend::Name> = self
+            .books
+            .values()
+            .flat_map(|loans| loans.borrowed(now))
+            .map(|(name, _)| name)
+            .collect();
+        for (name, listed_server) in self.listing.iter() {
+            if listed_server.entry.location.region != own && !borrowed.contains(name) {
+                listed_server.server.set_reserved(0);
+            }
+        }
     }
 
     /// Adds a retry budget and a demand counter for each new service.
