Send a request to the start of the server that was granted

What callers see: a request fails, or runs at the former address, after a server has started again under its name and the arbiter learned of it first. Cause: the sending host looked the granted server up by name alone and used its own entry, whatever start that was of. Change: its own entry counts if it is of the same start; an older one is passed over, and a newer one means that the granted start is gone.

--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -210,10 +210,12 @@
     }
     let granted_server = granted_server(answer.headers(), &state.settings.topology)
         .ok_or_else(|| no_answer("the response has no valid server headers"))?;
-    let known = state.snapshot().server(&granted_server.identity.name).cloned();
+    // The arbiter may have learned first of a new server, or of a new start under the same name.
+    let granted = &granted_server.identity;
+    let known = state.snapshot().server(&granted.name).cloned();
+    let known = known.filter(|known| known.identity.incarnation >= granted.incarnation);
     let is_unusable = match &known {
-        Some(server) => !is_usable(server),
-        // The arbiter may have learned of a new server first.
+        Some(known) => known.identity != *granted || !is_usable(known),
         None => {
             let view = state.view();
             view.listing.was_removed(&granted_server.identity.name)
