Give out no slots of a server's former start

What callers see: a request fails, or runs at the former address, after a server has started again under its name. Cause: the listing replaced the server, but requests and queues that still held the former one went on taking its slots. Change: the replaced server counts as leaving. Result: the new test failed before (a slot of the former start was given out) and passes now.

--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -104,11 +104,15 @@
         }
         let identity = Identity { name: name.clone(), incarnation: entry.born_millis };
         let server = Server::new(identity, entry.address, entry.location, entry.slots);
+        let warm_at = now + entry.cold_left;
+        if let Some(previous) = self.servers.remove(name) {
+            // Requests that still see it must not be sent to its former address.
+            previous.server.mark_leaving();
+        }
         if entry.is_leaving {
             server.mark_leaving();
         }
         self.removed.remove(name);
-        let warm_at = now + entry.cold_left;
         let listed_server =
             ListedServer { entry, server: Arc::new(server), warm_at, expires: None };
         self.servers.insert(name.clone(), listed_server);
--- a/crates/oleanderspan/tests/listing.rs
+++ b/crates/oleanderspan/tests/listing.rs
@@ -164,3 +164,14 @@
     warm.hold_until(at(1_500));
     assert!(warm.try_pass(at(0)), "a warm server gets requests at once");
 }
+
+/// Requests that still hold the previous start of a server must not be sent to its address.
+#[test]
+fn replaced_start_of_a_server_hands_out_no_more_slots() {
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(1, 1), at(0));
+    let former = listed(&listing);
+    listing.put(&name(), entry(2, 1), at(1));
+    assert!(!former.try_acquire_slot());
+    assert!(listed(&listing).try_acquire_slot());
+}
