Keep leaving and cold start when an entry changes the location of a server

What callers see: requests to a server that is about to stop, or more than a cold one bears. Change: both are taken over from the replaced server of the same start.

--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -85,7 +85,7 @@
     }
 
     /// Applies an entry of a server; entries older than the current one are ignored.
-    pub fn put(&mut self, name: &backend::Name, entry: Entry, now: Instant) -> Change {
+    pub fn put(&mut self, name: &backend::Name, mut entry: Entry, now: Instant) -> Change {
         if let Some(listed_server) = self.servers.get_mut(name) {
             let same_start = listed_server.entry.born_millis == entry.born_millis;
             let is_outdated = entry.born_millis < listed_server.entry.born_millis
@@ -104,10 +104,14 @@
         }
         let identity = Identity { name: name.clone(), incarnation: entry.born_millis };
         let server = Server::new(identity, entry.address, entry.location, entry.slots);
-        let warm_at = now + entry.cold_left;
+        let mut warm_at = now + entry.cold_left;
         if let Some(previous) = self.servers.remove(name) {
             // Requests that still see it must not be sent to its former address.
             previous.server.mark_leaving();
+            if previous.entry.born_millis == entry.born_millis {
+                entry.is_leaving |= previous.entry.is_leaving;
+                warm_at = warm_at.max(previous.warm_at);
+            }
         }
         if entry.is_leaving {
             server.mark_leaving();
--- a/crates/oleanderspan/tests/listing.rs
+++ b/crates/oleanderspan/tests/listing.rs
@@ -175,3 +175,20 @@
     assert!(!former.try_acquire_slot());
     assert!(listed(&listing).try_acquire_slot());
 }
+
+/// An entry of the same start with another zone or address must not undo its leaving or its cold start.
+#[test]
+fn leaving_and_cold_start_outlast_a_changed_location() {
+    let elsewhere = Location { zone: availability::Index(1), region: region::Index(1) };
+    let mut listing = Listing::default();
+    let cold = Entry { cold_left: Duration::from_millis(500), ..entry(1, 1) };
+    listing.put(&name(), cold, at(0));
+    listing.put(&name(), Entry { location: elsewhere, ..entry(1, 2) }, at(1));
+    let server = listed(&listing);
+    listing.get(&name()).unwrap().limit_while_cold(cold::Rate::per_1000_s(4_000), at(1));
+    assert_eq!(server.location, elsewhere);
+    assert!(server.cold().is_cold(at(400)));
+    listing.put(&name(), Entry { is_leaving: true, location: elsewhere, ..entry(1, 3) }, at(2));
+    listing.put(&name(), entry(1, 4), at(3));
+    assert!(listed(&listing).is_leaving());
+}
