Give borrowed slots to requests behind those that wait for their own region

What callers see: requests without home regions wait or are refused while borrowed slots are free. Cause: a request bound to its region, at the head of the queue when only borrowed slots were free, went to the end of its rank, and nobody else was served until the next release or timer tick. Change: such requests are set aside and precede the others of their rank as soon as a slot of the region is free; the rest of the queue is served meanwhile. A new request without homes need not queue behind them. For bound requests, the expected wait counts the part of the queue that competes for the region's own slots. Result: borrowed_slot_goes_to_the_first_request_that_may_use_it failed before (nobody got the slot) and passes now.

--- a/crates/node/src/gateway/slots.rs
+++ b/crates/node/src/gateway/slots.rs
@@ -120,7 +120,7 @@
         return Err(no_server());
     }
     let rank = admission::rank(priority, time, &load);
-    load.ahead = pool.queued_before(rank);
+    load.ahead = pool.queued_before(rank, &criteria);
     match admission::decide(time, &load) {
         Decision::Refuse { retry_after } => {
             Err(AcquireError { refusal: Refusal::Overloaded, retry_after: Some(retry_after) })
--- a/crates/oleanderspan/benches/placement.rs
+++ b/crates/oleanderspan/benches/placement.rs
@@ -99,7 +99,7 @@
     criterion.bench_function("refuse a request at admission", |b| {
         b.iter(|| {
             let load = Load {
-                ahead: pool.queued_before(Rank::default()),
+                ahead: pool.queued_before(Rank::default(), &Criteria::default()),
                 slots: 200 * SLOTS,
                 mean_latency: pool.mean_latency(),
                 typical_latency: pool.typical_latency(),
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -58,6 +58,15 @@
     ServeUntilLimit,
 }
 
+/// Where slots are free, which decides who of the waiters can be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FreeSlots {
+    /// In the region of the pool, so that any waiter can be served.
+    InRegion,
+    /// In other regions only, so that waiters bound to the region cannot be served.
+    Borrowed,
+}
+
 /// Dispatches requests to servers, first come first served within a rank.
 ///
 /// A slot is taken before a waiter is removed from the queue, and the queue is checked again after
@@ -70,6 +79,9 @@
     members: ArcSwap<Members<W>>,
     limiter: Limiter,
     queues: [SegQueue<QueuedWaiter<W>>; RANKS],
+    /// Waiters bound to the region that were passed over because only borrowed slots were free.
+    /// They precede the other waiters of their rank as soon as a slot of the region is free.
+    passed_over: [SegQueue<QueuedWaiter<W>>; RANKS],
     overload: OverloadPolicy,
     /// Whether the pool has been overloaded since the queue was last empty.
     overloaded: AtomicBool,
@@ -131,6 +143,7 @@
             members: ArcSwap::default(),
             limiter: Limiter::new(0),
             queues: [const { SegQueue::new() }; RANKS],
+            passed_over: [const { SegQueue::new() }; RANKS],
             overload,
             overloaded: AtomicBool::new(false),
             next_server: AtomicU32::new(0),
@@ -182,14 +195,27 @@
 
     /// Number of requests in the shared queue, without those that wait for a single server.
     pub fn queued(&self) -> usize {
-        self.queues.iter().map(SegQueue::len).sum()
+        self.queues.iter().chain(&self.passed_over).map(SegQueue::len).sum()
     }
 
-    /// Number of waiting requests that would be served before one of `rank`.
-    pub fn queued_before(&self, rank: Rank) -> usize {
-        let common: usize =
-            self.queues.iter().take(usize::from(rank.0) + 1).map(SegQueue::len).sum();
-        common + self.in_server_queues.load(Ordering::Relaxed) as usize
+    /// Number of waiting requests that would be served before one of `rank`, by the servers that
+    /// the region of `criteria` allows.
+    pub fn queued_before(&self, rank: Rank, criteria: &Criteria) -> usize {
+        let length = |queues: &[SegQueue<_>]| -> usize {
+            queues.iter().take(usize::from(rank.0) + 1).map(SegQueue::len).sum()
+        };
+        let common = length(&self.queues) + self.in_server_queues.load(Ordering::Relaxed) as usize;
+        if criteria.region.is_none() {
+            return common;
+        }
+        // The other waiters use all slots alike, so only a part of them competes for these.
+        let (mut allowed, mut total) = (0, 0);
+        for server in self.members.load().servers.iter() {
+            let slots = server.own_slots() as usize;
+            total += slots;
+            allowed += if criteria.allows_region_of(server) { slots } else { 0 };
+        }
+        length(&self.passed_over) + common * allowed / total.max(1)
     }
 
     /// Number of requests with an object that were placed since the start of the process.
@@ -211,6 +237,21 @@
         self.queues.iter().all(SegQueue::is_empty)
     }
 
+    fn has_passed_over(&self) -> bool {
+        !self.passed_over.iter().all(SegQueue::is_empty)
+    }
+
+    /// Whether a slot in the pool's own region is free.
+    fn has_free_in_region(&self, now: Instant) -> bool {
+        let servers = self.servers();
+        self.best_server(&servers, None, now, |server| !self.is_borrowed(server)).is_some()
+    }
+
+    /// Whether a free slot may have a waiter.
+    fn is_servable(&self, now: Instant) -> bool {
+        !self.is_queue_empty() || self.has_passed_over() && self.has_free_in_region(now)
+    }
+
     /// Records the latency of an answer to a request without an object.
     pub fn observe(&self, server: &Server, latency: Duration) {
         self.observe_for_object(server, None, latency);
@@ -270,7 +311,8 @@
     /// Takes a free slot that meets `criteria`, or returns `None` if there is none or requests are
     /// queued.
     pub fn try_acquire_for(&self, criteria: &Criteria, now: Instant) -> Option<Arc<Server>> {
-        if !self.is_queue_empty() {
+        let is_behind = criteria.region.is_some() && self.has_passed_over();
+        if is_behind || !self.is_queue_empty() {
             return None;
         }
         self.take_where(criteria.object, now, |server| criteria.allows(server))
@@ -334,21 +376,14 @@
 
     /// Hands free slots to the waiters of the shared queue.
     fn serve_queue(&self, now: Instant) {
-        while !self.is_queue_empty() {
+        while self.is_servable(now) {
             let Some(server) = self.take(now) else { return };
-            let granted = match self.next_waiter(now) {
-                Some(queued) => {
-                    let server = self.swap_for_preferred(server, &queued.criteria, now);
-                    if !queued.criteria.allows_region_of(&server) {
-                        // Only slots of other regions are free; the waiter keeps its limit but moves behind
-                        // its rank.
-                        server.release_slot();
-                        self.limiter.release();
-                        self.queues[usize::from(queued.rank.0)].push(queued);
-                        return;
-                    }
-                    queued.waiter.grant(server)
-                }
+            let free = match !self.is_borrowed(&server) || self.has_free_in_region(now) {
+                true => FreeSlots::InRegion,
+                false => FreeSlots::Borrowed,
+            };
+            let granted = match self.next_waiter(free, now) {
+                Some(queued) => self.grant(queued, server, now),
                 None => Err(server),
             };
             if let Err(server) = granted {
@@ -358,17 +393,40 @@
         }
     }
 
-    /// Takes the next waiter. From the onset of overload until the queue has been empty, refuses
-    /// waiters that were not queued recently.
+    /// Hands a taken slot, or a free one that suits the waiter better, to a waiter. Returns the slot
+    /// if the waiter cannot use it or no longer waits.
+    fn grant(
+        &self,
+        queued: QueuedWaiter<W>,
+        taken: Arc<Server>,
+        now: Instant,
+    ) -> Result<(), Arc<Server>> {
+        let criteria = &queued.criteria;
+        let mut server = self.swap_for_preferred(taken, criteria, now);
+        if !criteria.allows_region_of(&server) {
+            // Only the excluded server may be free in the region.
+            let in_region = Criteria { region: criteria.region, ..Criteria::default() };
+            server = self.swap_for_preferred(server, &in_region, now);
+        }
+        if criteria.allows_region_of(&server) {
+            return queued.waiter.grant(server);
+        }
+        // Another request took the last slot in the region.
+        self.passed_over[usize::from(queued.rank.0)].push(queued);
+        Err(server)
+    }
+
+    /// Takes the next waiter that can use a free slot. From the onset of overload until the queue has
+    /// been empty, refuses waiters that were not queued recently.
     ///
     /// Otherwise an overload would leave a queue in which every request waits almost as long as its
     /// limit, and which persists long after the overload; see `docs/MEASURES.md`, "Overload".
-    fn next_waiter(&self, now: Instant) -> Option<QueuedWaiter<W>> {
-        let mut queued = self.pop()?;
+    fn next_waiter(&self, free: FreeSlots, now: Instant) -> Option<QueuedWaiter<W>> {
+        let mut queued = self.pop(free)?;
         if self.overload == OverloadPolicy::ServeUntilLimit {
             while queued.has_waited_over(100, now) {
                 queued.waiter.refuse();
-                queued = self.pop()?;
+                queued = self.pop(free)?;
             }
             return Some(queued);
         }
@@ -378,14 +436,28 @@
         if self.overloaded.load(Ordering::Relaxed) {
             while queued.has_waited_over(MAX_OVERLOADED_WAIT_PERCENT, now) {
                 queued.waiter.refuse();
-                queued = self.pop()?;
+                queued = self.pop(free)?;
             }
         }
         Some(queued)
     }
 
-    fn pop(&self) -> Option<QueuedWaiter<W>> {
-        self.queues.iter().find_map(SegQueue::pop)
+    /// Takes the first waiter that can use a free slot; sets those aside that cannot.
+    fn pop(&self, free: FreeSlots) -> Option<QueuedWaiter<W>> {
+        for (queue, passed_over) in self.queues.iter().zip(&self.passed_over) {
+            if free == FreeSlots::InRegion
+                && let Some(queued) = passed_over.pop()
+            {
+                return Some(queued);
+            }
+            while let Some(queued) = queue.pop() {
+                if free == FreeSlots::InRegion || queued.criteria.region.is_none() {
+                    return Some(queued);
+                }
+                passed_over.push(queued);
+            }
+        }
+        None
     }
 
     /// Exchanges a taken slot for a free one that suits the request better: on a server that has
--- a/crates/oleanderspan/tests/admission.rs
+++ b/crates/oleanderspan/tests/admission.rs
@@ -100,7 +100,7 @@
         let ticket = Ticket(i, Rc::clone(&granted));
         pool.enqueue_ranked(ticket, rank, Criteria::default(), Duration::from_secs(9), at(0));
     }
-    assert_eq!(pool.queued_before(ranks[1]), 2);
+    assert_eq!(pool.queued_before(ranks[1], &Criteria::default()), 2);
     pool.release(&taken, at(1));
     (2..5).for_each(|ms| pool.release(&only, at(ms)));
     assert_eq!(*granted.borrow(), [0, 1, 2, 3]);
@@ -166,8 +166,10 @@
                 }
                 None => {
                     let rank = Rank::new(0, false);
-                    let decision =
-                        admission::decide(time(600, 4_000), &load(pool.queued_before(rank)));
+                    let decision = admission::decide(
+                        time(600, 4_000),
+                        &load(pool.queued_before(rank, &Criteria::default())),
+                    );
                     let limit = match decision {
                         Decision::Wait { limit } => Some(limit),
                         Decision::Refuse { .. } => {
@@ -243,6 +245,56 @@
     assert_eq!(*granted.borrow(), [1]);
 }
 
+/// Requests bound to their region must not hold up those behind them when only borrowed slots are free.
+#[test]
+fn borrowed_slot_goes_to_the_first_request_that_may_use_it() {
+    let granted = Rc::default();
+    let pool: Pool<Ticket> = Pool::for_region(REGION, OverloadPolicy::ServeUntilLimit);
+    let (own, other) = (server(1, 1), server_in(region::Index(1), 2, 1));
+    pool.update(vec![Arc::clone(&own), Arc::clone(&other)], u32::MAX);
+    let bound = Criteria { region: Some(REGION), ..Criteria::default() };
+    (0..2).for_each(|_| drop(pool.try_acquire_for(&Criteria::default(), at(0)).unwrap()));
+    for (number, criteria) in
+        [(1, &bound), (2, &bound), (3, &Criteria::default()), (4, &Criteria::default())]
+    {
+        let ticket = Ticket(number, Rc::clone(&granted));
+        let limit = Duration::from_secs(9);
+        pool.enqueue_ranked(ticket, Rank::default(), criteria.clone(), limit, at(0));
+    }
+    pool.release(&other, at(1));
+    assert_eq!(*granted.borrow(), [3]);
+    let before = |criteria| pool.queued_before(Rank::default(), criteria);
+    assert_eq!((before(&bound), before(&Criteria::default())), (2, 1));
+    pool.release(&own, at(2));
+    pool.release(&other, at(2));
+    assert_eq!(*granted.borrow(), [3, 1, 4], "the first in the queue gets the region's own slot");
+    pool.release(&other, at(3));
+    let free = pool.try_acquire_for(&Criteria::default(), at(3)).unwrap();
+    assert_eq!(free.identity, other.identity, "a new request need not wait behind bound ones");
+    pool.release(&own, at(4));
+    assert_eq!(*granted.borrow(), [3, 1, 4, 2]);
+    pool.release(&own, at(5));
+    assert!(pool.try_acquire_for(&bound, at(5)).is_some(), "no request waits any more");
+}
+
+/// Guards against an endless loop: the only free server of the region is one that the bound request has
+/// failed on, and a borrowed server ranks before it.
+#[test]
+fn bound_retry_gets_the_failed_server_if_no_other_of_its_region_is_free() {
+    let granted = Rc::default();
+    let pool: Pool<Ticket> = Pool::for_region(REGION, OverloadPolicy::ServeUntilLimit);
+    let (own, other) = (server(1, 1), server_in(region::Index(1), 2, 1));
+    pool.update(vec![Arc::clone(&own), Arc::clone(&other)], u32::MAX);
+    own.suspect();
+    let excluded = Some(own.identity.name.clone());
+    let bound = Criteria { region: Some(REGION), excluded, ..Criteria::default() };
+    let ticket = Ticket(1, Rc::clone(&granted));
+    pool.enqueue_ranked(ticket, Rank::default(), bound, Duration::from_secs(9), at(0));
+    assert_eq!(*granted.borrow(), [1]);
+    assert_eq!((own.in_flight(), other.in_flight()), (1, 0));
+    assert_eq!(pool.limiter().in_flight(), 1);
+}
+
 /// A server remembers 16 objects and evicts the least recently used one.
 #[test]
 fn server_evicts_the_least_recently_used_object() {
--- a/crates/oleanderspan/tests/locality.rs
+++ b/crates/oleanderspan/tests/locality.rs
@@ -215,10 +215,10 @@
     let granted: Granted = Rc::default();
     let ticket = Ticket(0, Rc::clone(&granted));
     pool.enqueue_for_server(ticket, &servers[0], Rank::default(), Duration::from_secs(9), at(1));
-    assert_eq!(pool.queued_before(Rank::default()), 1);
+    assert_eq!(pool.queued_before(Rank::default(), &Criteria::default()), 1);
     servers[0].mark_leaving();
     pool.update(servers.to_vec(), u32::MAX);
-    assert_eq!(pool.queued_before(Rank::default()), 0);
+    assert_eq!(pool.queued_before(Rank::default(), &Criteria::default()), 0);
     assert!(granted.borrow().is_empty());
 }
 
