Refuse a request at once if only borrowed servers are left and its homes rule them out

What callers see: a request with home regions waits until its time is up, although it can't be served. Cause: slots of borrowed servers counted as slots that it could wait for. Change: only servers that the request allows count. Result: bound_request_is_refused_at_once_if_its_region_has_borrowed_servers_only failed before and passes now.

--- a/crates/node/src/gateway/slots.rs
+++ b/crates/node/src/gateway/slots.rs
@@ -108,7 +108,8 @@
     criteria: Criteria,
 ) -> Result<Lease, AcquireError> {
     let servers = pool.servers();
-    let usable = servers.iter().filter(|server| is_usable(server));
+    let is_allowed = |server: &Server| is_usable(server) && criteria.allows_region_of(server);
+    let usable = servers.iter().filter(|server| is_allowed(server));
     let mut load = Load {
         ahead: 0,
         slots: usable.map(|server| server.own_slots()).sum(),
