Send a bound request to its other home if its own region has borrowed servers only

What callers see: requests with several home regions are refused although another home has servers. Cause: a region counted as able to serve while its pool had any server, also one borrowed from elsewhere, which a bound request may not use. Change: for bound requests only servers located in the region count.

--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -409,9 +409,13 @@
         let own = settings.topology.regions().filter(|(region, _)| *region == settings.region);
         let others = settings.topology.regions().filter(|(region, _)| *region != settings.region);
         let mut allowed = own.chain(others).filter(|(_, name)| route.allows(name));
+        // Borrowed servers are in the pool of their borrower, but not in its region.
+        let is_allowed = |server: &Server, region| {
+            is_usable(server) && (!route.is_bound() || server.location.region == region)
+        };
         let has_servers = |region: region::Index| {
             self.pool(service, region)
-                .is_some_and(|pool| pool.servers().iter().any(|server| is_usable(server)))
+                .is_some_and(|pool| pool.servers().iter().any(|server| is_allowed(server, region)))
         };
         allowed.find(|(region, _)| has_servers(*region)).map(|(region, _)| region)
     }
