Count a waiter of a server queue before it can be served

What callers see: at random, a request is refused as overloaded although hardly anyone waits. Cause: a waiter was put into a server's queue first and counted after that. Change: the waiter is counted before it is put into the queue.

--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -111,8 +111,9 @@
             QueuedWaiter { waiter, rank, criteria: Criteria::default(), since: now, limit };
         match members.queue_of(server) {
             Some(queue) => {
-                queue.queue_for(rank).push(queued);
+                // Counted first: other threads count down as soon as it is in the queue.
                 self.in_server_queues.fetch_add(1, Ordering::SeqCst);
+                queue.queue_for(rank).push(queued);
                 self.serve_server_queue(server, queue, now);
             }
             // The server was removed after it was chosen.
