Don't count waiters that were queued for a removed server

What callers see: a host refuses requests sooner the longer it runs, as ever more of them seem to wait. Cause: a waiter that was queued for a server just while the pool was updated without it could reach the queue after that had been emptied. The queue went away with the waiter, but its count stayed, and admission adds the count to the waiters ahead of every request. Change: whoever queues a waiter looks whether the queue is still the server's, and empties it otherwise.

--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -115,6 +115,11 @@
                 self.in_server_queues.fetch_add(1, Ordering::SeqCst);
                 queue.queue_for(rank).push(queued);
                 self.serve_server_queue(server, queue, now);
+                let current = self.members.load();
+                if !current.queue_of(server).is_some_and(|current| Arc::ptr_eq(current, queue)) {
+                    // The server was removed meanwhile, maybe after its queue had been emptied.
+                    self.refuse_all(queue);
+                }
             }
             // The server was removed after it was chosen.
             None => queued.waiter.refuse(),
@@ -205,10 +210,14 @@
             if is_usable && !server.is_leaving() && !server.is_evacuated() {
                 continue;
             }
-            while let Some(queued) = queue.pop() {
-                self.in_server_queues.fetch_sub(1, Ordering::SeqCst);
-                queued.waiter.refuse();
-            }
+            self.refuse_all(queue);
+        }
+    }
+
+    fn refuse_all(&self, queue: &ServerQueue<W>) {
+        while let Some(queued) = queue.pop() {
+            self.in_server_queues.fetch_sub(1, Ordering::SeqCst);
+            queued.waiter.refuse();
         }
     }
 }
--- a/crates/oleanderspan/tests/server_queues.rs
+++ b/crates/oleanderspan/tests/server_queues.rs
@@ -1,4 +1,4 @@
-//! Several threads queue waiters for single servers.
+//! Several threads queue waiters for single servers and replace the servers of the pool.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -68,3 +68,29 @@
     assert!(most_ahead <= THREADS, "{most_ahead} waiters ahead of a request");
     assert_eq!(pool.queued_before(Rank::default()), 0);
 }
+
+/// A waiter may be queued for a server while the pool is being updated without it.
+#[test]
+fn waiters_of_a_removed_server_are_not_counted() {
+    let pool = Pool::with_overload(OverloadPolicy::ServeUntilLimit);
+    let server = server();
+    while server.try_acquire_slot() {}
+    pool.update(vec![Arc::clone(&server)], u32::MAX);
+    thread::scope(|scope| {
+        let queueing: Vec<_> = (1..THREADS)
+            .map(|_| {
+                scope.spawn(|| {
+                    for _ in 0..WAITERS {
+                        pool.enqueue_for_server(Cancelled, &server, Rank::default(), LIMIT, at(1));
+                    }
+                })
+            })
+            .collect();
+        while queueing.iter().any(|thread| !thread.is_finished()) {
+            pool.update(Vec::new(), u32::MAX);
+            pool.update(vec![Arc::clone(&server)], u32::MAX);
+        }
+    });
+    pool.update(Vec::new(), u32::MAX);
+    assert_eq!(pool.queued_before(Rank::default()), 0);
+}
