Keep a server in use while the number of its slots changes

That the former start gives out no slots needs the mark, the same start at the same place does not. Change: only a server of another start, at another address or in another location is marked. Result: the new test on slots failed before (no slot was given out) and passes now. The one on the location passed before as well; it holds what the mark is for.

--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -106,12 +106,18 @@
         let server = Server::new(identity, entry.address, entry.location, entry.slots);
         let mut warm_at = now + entry.cold_left;
         if let Some(previous) = self.servers.remove(name) {
-            // Requests that still see it must not be sent to its former address.
-            previous.server.mark_leaving();
-            if previous.entry.born_millis == entry.born_millis {
+            let same_start = previous.entry.born_millis == entry.born_millis;
+            if same_start {
                 entry.is_leaving |= previous.entry.is_leaving;
                 warm_at = warm_at.max(previous.warm_at);
             }
+            // Requests use it until the next snapshot. They must not be sent to a former address or to
+            // another region, but one whose slots have changed is still there.
+            let same_place = previous.entry.address == entry.address
+                && previous.entry.location == entry.location;
+            if !same_start || !same_place || entry.is_leaving {
+                previous.server.mark_leaving();
+            }
         }
         if entry.is_leaving {
             server.mark_leaving();
--- a/crates/oleanderspan/tests/listing.rs
+++ b/crates/oleanderspan/tests/listing.rs
@@ -192,3 +192,25 @@
     listing.put(&name(), entry(1, 4), at(3));
     assert!(listed(&listing).is_leaving());
 }
+
+/// Requests use the replaced server until the next snapshot has the new one.
+#[test]
+fn server_hands_out_slots_while_their_number_changes() {
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(1, 1), at(0));
+    let previous = listed(&listing);
+    listing.put(&name(), Entry { slots: 8, ..entry(1, 2) }, at(1));
+    assert!(previous.try_acquire_slot());
+    assert_eq!(listed(&listing).slots(), 8);
+}
+
+/// A request that is bound to a region must not run in another that the server turns out to be in.
+#[test]
+fn server_hands_out_no_slots_once_its_location_has_changed() {
+    let elsewhere = Location { zone: availability::Index(1), region: region::Index(1) };
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(1, 1), at(0));
+    let previous = listed(&listing);
+    listing.put(&name(), Entry { location: elsewhere, ..entry(1, 2) }, at(1));
+    assert!(!previous.try_acquire_slot());
+}
