Stop using borrowed slots when the lender has fallen silent

What callers see: requests at servers that are full, or slow answers, while regions can't reach each other. Without another change of the cluster, borrowed slots stayed in use without end, beside the lender, which takes them back. Evidence: 5.5 s after a loan of 3.5 s was last confirmed, its slot was still handed out, and the rest of the server withheld in its own region's pool.

--- a/crates/node/src/gateway/lending.rs
+++ b/crates/node/src/gateway/lending.rs
@@ -54,6 +54,12 @@
         before.is_none_or(|before| before.slots != slots || before.expires <= now)
     }
 
+    /// Removes loans that have expired; returns whether the usable slots change.
+    fn remove_expired(&mut self, now: Instant) -> bool {
+        let expired = self.borrowed.extract_if(|_, borrowed| borrowed.expires <= now);
+        expired.filter(|(_, borrowed)| !borrowed.slots.is_empty()).count() > 0
+    }
+
     fn capacity_reports(
         &self,
         own: region::Index,
@@ -132,7 +138,7 @@
         let arbiter_for = now.since(*service_loans.arbiter_since.get_or_insert(now));
         let capacity_reports = service_loans.capacity_reports(own, capacity_report, regions, now);
         let plan = loan::plan(own, &capacity_reports);
-        let mut has_changed = false;
+        let mut has_changed = service_loans.remove_expired(now);
         for (region, wanted) in (0u16..).map(region::Index).zip(plan) {
             let before = service_loans.ledger.lent_to(region);
             let may_resize_at_once = loan::may_resize_at_once(is_idle, before, arbiter_for);
