Ignore reports on a former start of a server

What callers see: a server that has just started again under its name gets no requests for 2 s; with no other server they are refused. Cause: hosts reported a server to the arbiter by its name alone. A report on the former start, for instance that it is gone, paused whatever start the arbiter had under that name, and outcomes were counted for the wrong one. Change: a report names the start; the arbiter ignores it if it has another. Reports of older builds have none and count as before.

--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oleanderspan::{
-    backend::{self, Object, ReuseDistance, pool::Criteria},
+    backend::{self, Object, ReuseDistance, Server, pool::Criteria},
     entry,
     prelude::*,
     request::{Refusal, admission::TimeLeft},
@@ -125,6 +125,11 @@
         let server = backend::Name::try_from(report.server.as_str()).ok();
         let pool = service.and_then(|service| snapshot.pool(&service, self.0.settings.region));
         let server = server.and_then(|server| snapshot.server(&server));
+        // A report on a former start says nothing about the one of the same name now.
+        let is_same_start = |server: &&Arc<Server>| {
+            report.incarnation.is_none_or(|start| start == server.identity.incarnation)
+        };
+        let server = server.filter(is_same_start);
         if let (true, Some(server)) = (report.is_unusable, server) {
             info!(self.0.log, "server reported unusable; pausing its slots";
                 "server" => &report.server,
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -137,15 +137,17 @@
             // releases the slot, and the next slot request reports the server to the arbiter.
             Err(Failure::Unusable(server)) => {
                 info!(state.log, "arbiter granted a server that is unusable here; excluding it";
-                    "request" => requirements.id, "server" => %server, "host" => %peer.name);
+                    "request" => requirements.id, "server" => %server.name,
+                    "host" => %peer.name);
                 state.reports.push(ServerReport {
                     service: requirements.service.to_string(),
-                    server: server.to_string(),
+                    server: server.name.to_string(),
+                    incarnation: Some(server.incarnation),
                     latency_us: None,
                     reuse_distance: None,
                     is_unusable: true,
                 });
-                criteria.excluded = Some(server);
+                criteria.excluded = Some(server.name);
             }
             Err(Failure::OutsideRegion(server)) => {
                 warn!(state.log, "arbiter granted a server outside the request's region; \
@@ -168,7 +170,7 @@
 enum Failure {
     Rejected(AcquireError),
     /// The server is leaving, gone or evacuated.
-    Unusable(backend::Name),
+    Unusable(Identity),
     /// The server is not in the only region that may run the request.
     OutsideRegion(backend::Name),
     NoAnswer(String),
@@ -223,7 +225,7 @@
         }
     };
     if is_unusable {
-        return Err(Failure::Unusable(granted_server.identity.name));
+        return Err(Failure::Unusable(granted_server.identity));
     }
     let server = known.unwrap_or_else(|| Arc::new(granted_server));
     if !criteria.allows_region_of(&server) {
@@ -285,6 +287,7 @@
         state.reports.push(ServerReport {
             service: requirements.service.to_string(),
             server: server.identity.name.to_string(),
+            incarnation: Some(server.identity.incarnation),
             latency_us: latency
                 .map(|latency| u64::try_from(latency.as_micros()).unwrap_or(u64::MAX)),
             reuse_distance: grant.reuse_distance().map(ReuseDistance::number),
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -60,6 +60,9 @@
     pub service: String,
     /// Name of the server.
     pub server: String,
+    /// Start of the server; absent in reports of older builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<u64>,
     /// Response time in microseconds; `None` if the server failed or is unusable.
     pub latency_us: Option<u64>,
     /// Reuse distance of the request's object on the server, as received with the slot.
