Remember which start of a server was removed

What callers see: a server that has started again under its name gets no requests for 2 s; with no other server they are refused. Cause: a host remembered for a minute that a server of this name was gone. If the arbiter learned first of the next start and granted it, the host took it for the one that is gone, and its report paused the new start. Change: the start is remembered too, and later ones are not concerned. Result: the new test fails when the start is not compared, and passes with it; the tests of removed servers and of grants pass as before.

--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -220,7 +220,7 @@
         Some(known) => known.identity != *granted || !is_usable(known),
         None => {
             let view = state.view();
-            view.listing.was_removed(&granted_server.identity.name)
+            view.listing.was_removed(granted)
                 || view.evacuated.contains(&granted_server.location.zone)
         }
     };
--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -71,9 +71,9 @@
 #[derive(Debug, Default)]
 pub struct Listing {
     servers: Map<backend::Name, ListedServer>,
-    /// When each server was removed, so that reports from hosts that have not seen the removal are
-    /// ignored.
-    removed: Map<backend::Name, Instant>,
+    /// The start of each removed server and when it was removed, so that grants of hosts that have
+    /// not seen the removal are not used.
+    removed: Map<backend::Name, (u64, Instant)>,
     /// When the store last recovered from an outage.
     recovered_at: Option<Instant>,
 }
@@ -144,8 +144,9 @@
             }
             (_, Some(listed_server)) => {
                 listed_server.server.mark_leaving();
+                let incarnation = listed_server.entry.born_millis;
                 self.servers.remove(name);
-                self.record_removal(name, now);
+                self.record_removal(name, incarnation, now);
                 Change::Gone
             }
         }
@@ -170,20 +171,21 @@
         for name in &expired {
             if let Some(listed_server) = self.servers.remove(name) {
                 listed_server.server.mark_leaving();
+                self.record_removal(name, listed_server.entry.born_millis, now);
             }
-            self.record_removal(name, now);
         }
         expired
     }
 
-    /// Whether a server was listed and has been removed, as far as the removal is still remembered.
-    pub fn was_removed(&self, name: &backend::Name) -> bool {
-        self.removed.contains_key(name)
+    /// Whether this start of a server or a later one was listed and has been removed, as far as the
+    /// removal is still remembered.
+    pub fn was_removed(&self, identity: &Identity) -> bool {
+        self.removed.get(&identity.name).is_some_and(|(start, _)| identity.incarnation <= *start)
     }
 
-    fn record_removal(&mut self, name: &backend::Name, now: Instant) {
-        self.removed.retain(|_, at| now.since(*at) < REMOVED_RETENTION);
-        self.removed.insert(name.clone(), now);
+    fn record_removal(&mut self, name: &backend::Name, incarnation: u64, now: Instant) {
+        self.removed.retain(|_, (_, at)| now.since(*at) < REMOVED_RETENTION);
+        self.removed.insert(name.clone(), (incarnation, now));
     }
 
     /// When [`Listing::expire`] next has an entry to remove, or `None`.
--- a/crates/oleanderspan/tests/listing.rs
+++ b/crates/oleanderspan/tests/listing.rs
@@ -9,6 +9,7 @@
     backend::{
         self, Listing, cold,
         listing::{Change, Entry},
+        server::Identity,
     },
     prelude::*,
     region, service,
@@ -214,3 +215,15 @@
     listing.put(&name(), Entry { location: elsewhere, ..entry(1, 2) }, at(1));
     assert!(!previous.try_acquire_slot());
 }
+
+/// Another host may grant the next start of a server before this host knows of it.
+#[test]
+fn removal_of_a_server_does_not_concern_its_next_start() {
+    let start = |incarnation| Identity { name: name(), incarnation };
+    let mut listing = Listing::default();
+    listing.put(&name(), entry(2, 1), at(0));
+    assert!(!listing.was_removed(&start(2)));
+    assert_eq!(listing.remove(&name(), at(1)), Change::Gone);
+    assert!(listing.was_removed(&start(1)) && listing.was_removed(&start(2)));
+    assert!(!listing.was_removed(&start(3)));
+}
