Share the slack of the retry budget with hosts that are found later

What callers see: after faults, all hosts together may repeat more requests than the budget allows, which loads servers that are in trouble already. Cause: a host's part of the slack was set once, when it learned of a service's first server, from the hosts that it knew then. Hosts that start together know few or none. Evidence: of a usable slack of 33 repeats, each of 11 hosts kept all 33. Sites with many hosts repeat less right after a fault than before.

--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -231,7 +231,7 @@
     fn snapshot(&mut self, settings: &Settings, now: Instant) -> Snapshot {
         let servers = self.apply_server_flags(now);
         self.update_pools(settings, &servers, now);
-        self.add_retry_budgets(settings);
+        self.update_retry_budgets(settings);
         Snapshot {
             table: self.table.clone(),
             has_server_list: self.has_server_list,
@@ -312,15 +312,18 @@
         }
     }
 
-    /// Adds a retry budget and a demand counter for each new service.
-    fn add_retry_budgets(&mut self, settings: &Settings) {
+    /// Adapts this host's part of the retry budgets to the number of hosts, and adds a budget and a
+    /// demand counter for each new service.
+    fn update_retry_budgets(&mut self, settings: &Settings) {
         let hosts = u32::try_from(self.roster.len() + 1).unwrap_or(u32::MAX);
         let reserve = settings.retries.slack * USABLE_RETRY_BUDGET_PERCENT / 100 / hosts;
+        let reserve = reserve.max(1);
+        self.retry_budgets.values().for_each(|budget| budget.set_capacity(reserve));
         let known = |service: &&service::Name| self.retry_budgets.contains_key(*service);
         let new: Vec<service::Name> =
             self.pools.keys().filter(|service| !known(service)).cloned().collect();
         for service in new {
-            let budget = Budget::with_capacity(settings.retries.share, reserve.max(1));
+            let budget = Budget::with_capacity(settings.retries.share, reserve);
             self.retry_budgets.insert(service.clone(), Arc::new(budget));
             self.demands.insert(service, Arc::default());
         }
--- a/crates/oleanderspan/src/request/retry.rs
+++ b/crates/oleanderspan/src/request/retry.rs
@@ -14,27 +14,39 @@
 #[derive(Debug)]
 pub struct Budget {
     share: Percent,
-    max_credit: i64,
+    max_credit: AtomicI64,
     credit: AtomicI64,
 }
 
 impl Budget {
     /// A budget that starts with credit for one extra attempt.
     pub fn new(share: Percent) -> Budget {
-        Budget { share, max_credit: MAX_CREDIT, credit: AtomicI64::new(CREDIT_PER_ATTEMPT) }
+        Budget::with_credit(share, MAX_CREDIT, CREDIT_PER_ATTEMPT)
     }
 
     /// A budget that starts full, to cover faults right after the start; empty if `share` is zero.
     pub fn full(share: Percent) -> Budget {
         let credit = if share.get() == 0 { 0 } else { MAX_CREDIT };
-        Budget { share, max_credit: MAX_CREDIT, credit: AtomicI64::new(credit) }
+        Budget::with_credit(share, MAX_CREDIT, credit)
     }
 
     /// A budget that starts with, and is limited to, `capacity` extra attempts: this host's part
     /// of a budget shared by all hosts.
     pub fn with_capacity(share: Percent, capacity: u32) -> Budget {
         let max_credit = i64::from(capacity) * CREDIT_PER_ATTEMPT;
-        Budget { share, max_credit, credit: AtomicI64::new(max_credit) }
+        Budget::with_credit(share, max_credit, max_credit)
+    }
+
+    fn with_credit(share: Percent, max_credit: i64, credit: i64) -> Budget {
+        Budget { share, max_credit: AtomicI64::new(max_credit), credit: AtomicI64::new(credit) }
+    }
+
+    /// Sets the limit of extra attempts after the number of hosts that share the budget has changed.
+    /// Credit above it is lost, credit below it is kept.
+    pub fn set_capacity(&self, capacity: u32) {
+        let max_credit = i64::from(capacity) * CREDIT_PER_ATTEMPT;
+        self.max_credit.store(max_credit, Ordering::Relaxed);
+        self.credit.fetch_min(max_credit, Ordering::Relaxed);
     }
 
     /// Extra attempts in percent of first attempts.
@@ -45,7 +57,8 @@
     /// Adds the credit that a first attempt earns, up to the limit.
     pub fn record_first_attempt(&self) {
         let share = i64::from(self.share.get());
-        let deposit = |credit: i64| Some((credit + share).min(self.max_credit));
+        let deposit =
+            |credit: i64| Some((credit + share).min(self.max_credit.load(Ordering::Relaxed)));
         let _ = self.credit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, deposit);
     }
 
