Ignore loans of servers of the own region

What callers see: a region has fewer slots than its servers when a lender with other settings, or with an older entry, lends it a server of its own. Cause: the loan withheld all of that server's slots but the lent ones, and put the server into the pool twice. Evidence: 2 slots counted of 4, one slot of a server that was there twice. Change: a borrowed server counts only if it is in another region. Result: the new test failed before with usable slots (2, 0) instead of (4, 0), and passes now.

--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -281,7 +281,7 @@
         }
         for (service, mut by_region) in lists {
             if let Some(own) = by_region.get_mut(usize::from(settings.region.0)) {
-                apply_loans(own, self.books.get(&service), servers, now);
+                apply_loans(own, settings.region, self.books.get(&service), servers, now);
             }
             let pools = self.pools.entry(service).or_insert_with(|| {
                 let pool = |region| Pool::for_region(region, OverloadPolicy::ServeUntilLimit);
@@ -333,6 +333,7 @@
 /// Withholds the slots of own servers that are lent, and adds the servers with borrowed slots.
 fn apply_loans(
     own: &mut Vec<Arc<Server>>,
+    region: region::Index,
     service_loans: Option<&ServiceLoans>,
     servers: &Map<backend::Name, Arc<Server>>,
     now: Instant,
@@ -346,7 +347,9 @@
     for (name, slots) in
         service_loans.into_iter().flat_map(|service_loans| service_loans.borrowed(now))
     {
-        let Some(server) = servers.get(name) else { continue };
+        // The lender may disagree about the region of a server.
+        let server = servers.get(name).filter(|server| server.location.region != region);
+        let Some(server) = server else { continue };
         server.set_reserved(server.slots().saturating_sub(slots));
         own.push(Arc::clone(server));
     }
