--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -231,7 +231,7 @@
     fn snapshot(&mut self, settings: &Settings, now: Instant) -> Snapshot {
         let servers = self.apply_server_flags(now);
         self.update_pools(settings, &servers, now);
-        self.add_retry_budgets(settings);
+        self.update_retry_budgets(settings);
         Snapshot {
             table: self.table.clone(),
             has_server_list: self.has_server_list,
@@ -281,7 +281,7 @@
         }
         for (service, mut by_region) in lists {
             if let Some(own) = by_region.get_mut(usize::from(settings.region.0)) {
-                apply_loans(own, self.books.get(&service), servers, now);
+                apply_loans(own, settings.region, self.books.get(&service), servers, now);
             }
             let pools = self.pools.entry(service).or_insert_with(|| {
                 let pool = |region| Pool::for_region(region, OverloadPolicy::ServeUntilLimit);
@@ -312,15 +312,18 @@
         }
     }
 
-    /// Adds a retry budget and a demand counter for each new service.
-    fn add_retry_budgets(&mut self, settings: &Settings) {
+    /// Adapts this host's part of the retry budgets to the number of hosts, and adds a budget and a
+    /// demand counter for each new service.
+    fn update_retry_budgets(&mut self, settings: &Settings) {
         let hosts = u32::try_from(self.roster.len() + 1).unwrap_or(u32::MAX);
         let reserve = settings.retries.slack * USABLE_RETRY_BUDGET_PERCENT / 100 / hosts;
+        let reserve = reserve.max(1);
+        self.retry_budgets.values().for_each(|budget| budget.set_capacity(reserve));
         let known = |service: &&service::Name| self.retry_budgets.contains_key(*service);
         let new: Vec<service::Name> =
             self.pools.keys().filter(|service| !known(service)).cloned().collect();
         for service in new {
-            let budget = Budget::with_capacity(settings.retries.share, reserve.max(1));
+            let budget = Budget::with_capacity(settings.retries.share, reserve);
             self.retry_budgets.insert(service.clone(), Arc::new(budget));
             self.demands.insert(service, Arc::default());
         }
@@ -330,6 +333,7 @@
 /// Withholds the slots of own servers that are lent, and adds the servers with borrowed slots.
 fn apply_loans(
     own: &mut Vec<Arc<Server>>,
+    region: region::Index,
     service_loans: Option<&ServiceLoans>,
     servers: &Map<backend::Name, Arc<Server>>,
     now: Instant,
@@ -343,7 +347,9 @@
     for (name, slots) in
         service_loans.into_iter().flat_map(|service_loans| service_loans.borrowed(now))
     {
-        let Some(server) = servers.get(name) else { continue };
+        // The lender may disagree about the region of a server.
+        let server = servers.get(name).filter(|server| server.location.region != region);
+        let Some(server) = server else { continue };
         server.set_reserved(server.slots().saturating_sub(slots));
         own.push(Arc::clone(server));
     }
