Break off a body that still flows after its client's time

What callers see: a server that sends a body without end is passed on for as long as the client stays, far past its deadline and the route's. The server's slot and connection are held all that time, by a client that reads nothing too. Cause: a body of more than 64 KiB was passed on with no limit of time once its head had gone out, and was read only as fast as the client took it. Change: a task of its own reads the rest of such a body until the client's deadline and 40 ms, whatever the client reads. A body that is complete by then is delivered late; any other one ends with an error, which breaks the client's connection off. Slot and connection to the server are released then, and a line with request and server is logged. A body may still flow past the route's timeout.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::Ordering;
 
 use http::{Response, StatusCode};
-use hyper::body::Incoming;
 use oleanderspan::{
     backend::{self, Object, ReuseDistance, Server, pool::Criteria},
     prelude::*,
@@ -22,7 +21,7 @@
     },
     http::{
         Body,
-        body::{self, Collected},
+        body::{self, Collected, Flow},
         client, header as names,
     },
 };
@@ -46,8 +45,8 @@
 /// Upper limit of the time that a slot is held after consecutive failures.
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_millis(2_000);
 
-/// A response whose slot is released when its body ends.
-pub type Answer = Response<Body<Grant>>;
+/// A response whose slot is released once its whole body has been read from the server.
+pub type Answer = Response<Body>;
 
 /// A routed request and its deadlines.
 #[derive(Clone, Copy, Debug)]
@@ -62,8 +61,10 @@
     pub object: Option<Object>,
     /// When the latency objective is missed.
     pub objective: Deadline,
-    /// When the client stops waiting.
+    /// When the client or the route stops waiting for the response.
     pub deadline: Deadline,
+    /// When the client stops waiting, also for the rest of a body that it receives.
+    pub client_deadline: Deadline,
 }
 
 /// Why a request got no response from a server.
@@ -215,7 +216,7 @@
                 StatusCode::GATEWAY_TIMEOUT => Refusal::TimedOut,
                 _ => Refusal::Broken,
             };
-            let answer = answer(head, collected, grant);
+            let answer = answer(state, call, head, collected, grant);
             if !is_failure {
                 return Ok(answer);
             }
@@ -307,24 +308,46 @@
     if head.status.is_success() && !head.headers.contains_key(&state.names.seal) {
         return Err(broken);
     }
-    let collected = collect(body).await.map_err(|_| broken)?;
+    let collected = body::collect_up_to(body, MAX_READ_AHEAD_BYTES).await;
+    let collected = collected.map_err(|_| broken)?;
     Ok((head, collected))
 }
 
-async fn collect(body: Incoming) -> Result<Collected, hyper::Error> {
-    body::collect_up_to(body, MAX_READ_AHEAD_BYTES).await
-}
-
-fn answer(mut head: http::response::Parts, collected: Collected, grant: Grant) -> Answer {
+fn answer(
+    state: &Shared,
+    call: &Call<'_>,
+    mut head: http::response::Parts,
+    collected: Collected,
+    grant: Grant,
+) -> Answer {
     names::strip_hop_by_hop(&mut head.headers);
     names::strip_internal(&mut head.headers);
     let body = match collected {
         Collected::Complete(bytes) => Body::from(bytes),
-        Collected::Partial(first, rest) => Body::with_prefix(first, rest, grant),
+        Collected::Partial(first, rest) => {
+            let (body, flow) = Body::flowing(first, rest);
+            pass_on(state, call, flow, grant);
+            body
+        }
     };
     Response::from_parts(head, body)
 }
 
+/// Passes the rest of a body on until the client stops waiting. The slot is released with the
+/// connection to the server, whatever the client reads.
+fn pass_on(state: &Shared, call: &Call<'_>, flow: Flow, grant: Grant) {
+    let remaining = call.client_deadline.remaining(state.clock.now()).unwrap_or_default();
+    let limit = remaining.saturating_add(DEADLINE_MARGIN);
+    let server = grant.server().map(|server| server.identity.name.clone());
+    let (log, id) = (state.log.clone(), call.id.to_owned());
+    tokio::spawn(async move {
+        if let Err(error) = flow.run(grant, limit).await {
+            warn!(log, "body not complete; aborting the response"; "request" => id,
+                "server" => server.map(|server| server.to_string()), "reason" => %error);
+        }
+    });
+}
+
 /// Releases a slot after a delay that grows with the server's consecutive failures. Without it, a
 /// server that fails immediately would look idle and attract more requests than a healthy one.
 fn release_after_backoff(grant: Grant, server: &Server) {
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -17,7 +17,6 @@
     gateway::{
         State,
         forward::{self, Answer, Call, ForwardError},
-        grant::Grant,
     },
     http::{header as names, server::Handler},
 };
@@ -27,7 +26,7 @@
 pub struct Front(pub State);
 
 impl Handler for Front {
-    type Guard = Grant;
+    type Guard = ();
 
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Answer {
         let state = &self.0;
@@ -87,6 +86,7 @@
             object: requested_object(&head.headers, state.names.object_cookie, &route, service),
             objective: Deadline(arrived + objective.saturating_sub(age)),
             deadline: Deadline(arrived + limit),
+            client_deadline: Deadline(arrived + client_timeout),
         };
         let outbound = OutboundRequest::receive(head, body, limit).await;
         let mut outbound = outbound.map_err(ForwardError::refused)?;
