Limit the head of a server's response to 32 KiB

What callers see: a gateway's memory grows by some 0.5 MB for each server response that does not end. Cause: connections to servers had the library's buffer of about 400 KiB, for a head and for each piece of a body. Change: the HTTP/1.1 client has a limit for the head of a response, 32 KiB by default, so that it holds for both front ends, the store and the tools. Bodies are read in pieces of at most that size; their length is not limited by it.

--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -12,7 +12,7 @@
 };
 use oleanderspan::prelude::*;
 
-use crate::http::Body;
+use crate::http::{Body, server::MIN_BUFFER_BYTES};
 
 /// Default timeout for setting up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -20,6 +20,9 @@
 /// Default time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Default limit on the size of a response head.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
 /// Limit on the response body that [`Client::call`] reads; a longer one is an error.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -49,6 +52,9 @@
     /// A connection is closed if sent bytes stay unacknowledged for three intervals, or an HTTP/2
     /// ping for one. `None` disables the probes.
     pub keepalive_interval: Option<Duration>,
+    /// Limit on the size of a response head, in bytes (HTTP/1.1); at least 8 KiB. A longer one is an
+    /// error. Bodies are read in pieces up to this size.
+    pub max_head_bytes: usize,
 }
 
 impl Default for Options {
@@ -57,6 +63,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             keepalive_interval: None,
+            max_head_bytes: MAX_HEAD_BYTES,
         }
     }
 }
@@ -102,6 +109,7 @@
             builder.http2_keep_alive_interval(options.keepalive_interval);
             builder.http2_keep_alive_timeout(options.keepalive_interval.unwrap_or(IDLE_TIMEOUT));
         }
+        builder.http1_max_buf_size(options.max_head_bytes.max(MIN_BUFFER_BYTES));
         builder.http2_only(protocol == Protocol::Http2);
         Client { inner: builder.build(connector) }
     }
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -24,7 +24,7 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Smallest buffer that `hyper` accepts; it panics below.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
+pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
 
 /// Limit on concurrent requests on one HTTP/2 connection.
 const MAX_CONCURRENT_STREAMS: u32 = 1024;
