Pass on no switch to another protocol

What callers see: a server's 101 reaches a client that did not ask for it, with neither seal nor length, as the answer to its request. A request that may be repeated is not. Cause: the library takes 101 for the final response, and only a status of success needs a seal. Change: the client takes 101 for a broken connection, as the headers that ask for a switch are never forwarded.

--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -127,13 +127,19 @@
         let interim = Arc::new(Interim::default());
         let counter = Arc::clone(&interim);
         hyper::ext::on_informational(&mut request, move |_| counter.count());
-        tokio::select! {
+        let response = tokio::select! {
             biased;
-            response = self.inner.request(request) => response.map_err(Error::from),
+            response = self.inner.request(request) => response?,
             () = interim.exceeded.notified() => {
-                Err(Error::Broken(format!("over {MAX_INTERIM_RESPONSES} interim responses")))
+                let reason = format!("over {MAX_INTERIM_RESPONSES} interim responses");
+                return Err(Error::Broken(reason));
             }
+        };
+        // No request asks for another protocol, and what follows is no response.
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(Error::Broken("switch to another protocol".to_owned()));
         }
+        Ok(response)
     }
 
     /// Sends a request and returns status and body of the response; fails with
