--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -1,6 +1,9 @@
 //! HTTP client for backend servers, other hosts and the platform.
 
-use std::fmt;
+use std::{
+    fmt,
+    sync::atomic::{AtomicU32, Ordering},
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
@@ -11,8 +14,9 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use oleanderspan::prelude::*;
+use tokio::sync::Notify;
 
-use crate::http::Body;
+use crate::http::{Body, server::MIN_BUFFER_BYTES};
 
 /// Default timeout for setting up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -20,6 +24,12 @@
 /// Default time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Default limit on the size of a response head.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// Limit on the number of interim responses (1xx) before the response to a request.
+const MAX_INTERIM_RESPONSES: u32 = 64;
+
 /// Limit on the response body that [`Client::call`] reads; a longer one is an error.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -49,6 +59,9 @@
     /// A connection is closed if sent bytes stay unacknowledged for three intervals, or an HTTP/2
     /// ping for one. `None` disables the probes.
     pub keepalive_interval: Option<Duration>,
+    /// Limit on the size of a response head, in bytes (HTTP/1.1); at least 8 KiB. A longer one is an
+    /// error. Bodies are read in pieces up to this size.
+    pub max_head_bytes: usize,
 }
 
 impl Default for Options {
@@ -57,6 +70,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             keepalive_interval: None,
+            max_head_bytes: MAX_HEAD_BYTES,
         }
     }
 }
@@ -102,14 +116,30 @@
             builder.http2_keep_alive_interval(options.keepalive_interval);
             builder.http2_keep_alive_timeout(options.keepalive_interval.unwrap_or(IDLE_TIMEOUT));
         }
+        builder.http1_max_buf_size(options.max_head_bytes.max(MIN_BUFFER_BYTES));
         builder.http2_only(protocol == Protocol::Http2);
         Client { inner: builder.build(connector) }
     }
 
     /// Sends a request and returns the response once its head has arrived; the body is streamed.
     /// There is no timeout beyond that of connecting.
-    pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, Error> {
-        self.inner.request(request).await.map_err(Error::from)
+    pub async fn send(&self, mut request: Request<Body>) -> Result<Response<Incoming>, Error> {
+        let interim = Arc::new(Interim::default());
+        let counter = Arc::clone(&interim);
+        hyper::ext::on_informational(&mut request, move |_| counter.count());
+        let response = tokio::select! {
+            biased;
+            response = self.inner.request(request) => response?,
+            () = interim.exceeded.notified() => {
+                let reason = format!("over {MAX_INTERIM_RESPONSES} interim responses");
+                return Err(Error::Broken(reason));
+            }
+        };
+        // No request asks for another protocol, and what follows is no response.
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(Error::Broken("switch to another protocol".to_owned()));
+        }
+        Ok(response)
     }
 
     /// Sends a request and returns status and body of the response; fails with
@@ -139,6 +169,22 @@
     }
 }
 
+/// The interim responses to one request.
+#[derive(Debug, Default)]
+struct Interim {
+    count: AtomicU32,
+    /// Notified when there are too many.
+    exceeded: Notify,
+}
+
+impl Interim {
+    fn count(&self) {
+        if self.count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+            self.exceeded.notify_one();
+        }
+    }
+}
+
 /// Error of a request that got no complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
