End a request when its client leaves, also with a pipelined one behind it

A client that sent several requests ahead and left saw nothing of it, but its servers did: the one at work ran to its end, and the next ones were sent although nobody waited for them.

Cause: while a request is being handled, the HTTP library looks for the end of the connection only if it has no bytes in hand (`mid_message_detect_eof` in hyper 1.13). A request that was read ahead is such bytes, so the close is noticed with the next response, after which the next request is served.

Change: the server asks the socket for the end of the connection, which the kernel reports whatever is unread before it, next to the handling of each request. `Socket` shares the connection for that and reads as the stream did, without a further system call. A request whose client has left by the time it is read is not handled.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -6,6 +6,8 @@
 pub mod header;
 pub mod meter;
 pub mod server;
+pub mod socket;
 
 pub use body::Body;
 pub use meter::Meter;
+pub use socket::Socket;
--- a/crates/node/src/http/head.rs
+++ b/crates/node/src/http/head.rs
@@ -14,10 +14,11 @@
 use oleanderspan::prelude::*;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     time::Sleep,
 };
 
+use crate::http::Socket;
+
 /// Response to a client that was too slow; nothing of its request was forwarded.
 const REQUEST_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -56,7 +57,7 @@
 /// A connection that responds with 408 and fails if a request head takes too long.
 #[derive(Debug)]
 pub struct TimedStream {
-    stream: TcpStream,
+    stream: Socket,
     head_timeout: Duration,
     in_flight: InFlight,
     /// Runs while a head has been received in part.
@@ -66,7 +67,7 @@
 
 impl TimedStream {
     /// Wraps a connection; the caller records each complete request head in `in_flight`.
-    pub fn new(stream: TcpStream, head_timeout: Duration, in_flight: InFlight) -> TimedStream {
+    pub fn new(stream: Socket, head_timeout: Duration, in_flight: InFlight) -> TimedStream {
         TimedStream { stream, head_timeout, in_flight, timer: None, is_http2: false }
     }
 
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server for callers and other hosts: HTTP/1.1 and HTTP/2 on one port.
 
-use std::convert::Infallible;
+use std::io;
 
 use http::{Request, Response};
 use hyper::{body::Incoming, service::service_fn};
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::http::{
-    Body,
+    Body, Socket,
     head::{InFlight, TimedStream},
 };
 
@@ -99,14 +99,22 @@
         let handler = handler.clone();
         let options = options();
         let in_flight = InFlight::default();
-        let stream = TimedStream::new(stream, options.head_timeout, in_flight.clone());
+        let socket = Socket::new(stream);
+        let stream = TimedStream::new(socket.clone(), options.head_timeout, in_flight.clone());
         let service = service_fn(move |request| {
             let guard = in_flight.start_request();
             let handler = handler.clone();
+            let socket = socket.clone();
             async move {
-                let response = handler.handle(request, peer).await;
+                // While `hyper` holds a pipelined request it does not read on, so that it would
+                // notice only after the response that the client has left, and serve the next one.
+                let response = tokio::select! {
+                    biased;
+                    () = socket.closed() => Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
+                    response = handler.handle(request, peer) => Ok(response),
+                };
                 drop(guard);
-                Ok::<_, Infallible>(response)
+                response
             }
         });
         let connection = connection_builder(options)
