Bound the wait for changes at a host that reads the store for others

A host that waits for changes at the reader of its zone waited up to 21 s for an answer. A reader that answers probes but not this question left the others at an old configuration, or with servers that are gone, for as long: requests on added routes got 404.

Cause: the long poll stays open for 20 s, and only the connection and the probes tell whether the reader lives; both may be fine while it is far behind with its work.

Change: for `op` and `servers` the reader answers after a second also without changes, and a host that has no answer 0.5 s later reads the store itself for 3 s, as after any other failure. While hosts of both versions run, new ones read the store themselves now and then.

--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -23,11 +23,9 @@
     http::{Body, header as names},
 };
 
-/// How long a long poll for changes stays open at the host that reads them from the store.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(20_000);
-
-/// Additional time after [`LONG_POLL_TIMEOUT`] for the response to arrive.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Additional time after [`Topic::feed_timeout`] for the response to arrive. A host that takes
+/// longer is too busy to read for others.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 
 /// The journal of one topic, and the long polls that wait for its changes.
 #[derive(Debug)]
@@ -56,10 +54,10 @@
         self.0.send_if_modified(Journal::stop);
     }
 
-    async fn next(&self, after: u64) -> Next<Bytes> {
+    async fn next(&self, after: u64, timeout: Duration) -> Next<Bytes> {
         let mut journal = self.0.subscribe();
         let changed = journal.wait_for(|journal| journal.next(after) != Next::UpToDate);
-        match tokio::time::timeout(LONG_POLL_TIMEOUT, changed).await {
+        match tokio::time::timeout(timeout, changed).await {
             Ok(Ok(journal)) => journal.next(after),
             // Unreachable: `self` owns the sender.
             Ok(Err(_)) => Next::Inactive,
@@ -73,7 +71,7 @@
 pub async fn serve<G>(state: &State, follow: &Follow) -> Response<Body<G>> {
     let topic = Topic::ALL.into_iter().find(|topic| topic.as_str() == follow.topic);
     let next = match topic {
-        Some(topic) => state.feed(topic).next(follow.after).await,
+        Some(topic) => state.feed(topic).next(follow.after, topic.feed_timeout()).await,
         None => Next::Inactive,
     };
     let (status, body) = match &next {
@@ -103,7 +101,7 @@
     let request = message::request(reader.address, FOLLOW_PATH, &follow);
     let request = request.map_err(|error| Error::Unavailable(error.to_string()))?;
     let received =
-        state.peer_client.call_with_head(request, LONG_POLL_TIMEOUT + RESPONSE_MARGIN).await;
+        state.peer_client.call_with_head(request, topic.feed_timeout() + RESPONSE_MARGIN).await;
     let (head, bytes) = received.map_err(|error| Error::Unavailable(error.to_string()))?;
     match head.status {
         StatusCode::OK => {
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -31,10 +31,26 @@
 /// The longest batch interval: half of the shortest time limit for noticing that a server leaves.
 const MAX_BATCH_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// How long a host that reads urgent changes for others may go without an answer to them.
+const URGENT_FEED_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How long a long poll for changes that are not urgent stays open at the host that reads them.
+const FEED_TIMEOUT: Duration = Duration::from_millis(20_000);
+
 impl Topic {
     /// All topics.
     pub const ALL: [Topic; 3] = [Topic::Operator, Topic::Servers, Topic::Hosts];
 
+    /// How long a long poll for changes stays open at the host that reads the topic for others. An
+    /// answer without changes shows that this host keeps up: a busy one still answers probes in
+    /// time, and the others would wait for it while the store has the changes.
+    pub const fn feed_timeout(self) -> Duration {
+        match self {
+            Topic::Operator | Topic::Servers => URGENT_FEED_TIMEOUT,
+            Topic::Hosts => FEED_TIMEOUT,
+        }
+    }
+
     /// How long to wait after a change before the next call, so that further changes are read in
     /// the same batch. Each batch costs each of the `hosts` hosts that read the store one call, so
     /// the interval grows with their number.
