Let the hosts with the most processor time read the store for their zone

All hosts of a zone were as late with a new configuration as the one that reads for them, also those with processor time to spare: requests on added routes got 404 from hosts that were not busy.

Cause: the reader was the host of highest rank, whatever its size. A reader that is behind with its work still answers probes and polls in time, as each of these waits for its turn once or twice, while a change waits for about ten: to be received, decoded, published and sent to each host. A small host also sends each document to all others over a slow link.

`hosts_with_the_most_processor_time_read_for_their_zone` fails if rank alone decides.

Change: a setting `cores`, announced by each host; of the live hosts of a zone only those with the most read for the others, among these rank decides. Hosts that announce none count as the smallest.

--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -151,6 +151,9 @@
     pub peers: SocketAddr,
     /// Name of the availability zone.
     pub zone: String,
+    /// Processor time in thousandths of a core; 0 if unknown.
+    #[serde(default)]
+    pub millicores: u32,
 }
 
 /// Sends a message to another host and reads the whole response, within `limit`.
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -22,6 +22,8 @@
     pub zone: availability::Index,
     /// The region of that zone.
     pub region: region::Index,
+    /// Processor time of this host in thousandths of a core, or 0 if unknown; the setting `cores`.
+    pub millicores: u32,
     /// All zones of the deployment and their regions.
     pub topology: Topology,
     /// The addresses that the gateway listens on.
@@ -71,6 +73,9 @@
 struct Raw {
     host: String,
     zone: String,
+    /// Processor time of this host, in cores.
+    #[serde(default)]
+    cores: f64,
     zones: BTreeMap<String, String>,
     listen: Listen,
     store: Store,
@@ -97,6 +102,7 @@
             (
                 settings.host.clone(),
                 settings.zone,
+                settings.millicores,
                 addresses,
                 listen.metrics,
                 settings.store.address,
@@ -143,6 +149,10 @@
         let Some((zone, region)) = topology.find_zone(&raw.zone) else {
             return Err(Error::new("zone", format!("zones has no {:?}", raw.zone)));
         };
+        if !(0.0..=MAX_CORES).contains(&raw.cores) {
+            let found = raw.cores;
+            return Err(Error::new("cores", format!("expected 0 to {MAX_CORES}, found {found}")));
+        }
         let share = raw.repeats.ratio * 100.0;
         if !(0.0..=100.0).contains(&share) {
             let found = raw.repeats.ratio;
@@ -164,6 +174,8 @@
             host: host.map_err(|error| Error::new("host", error))?,
             zone,
             region,
+            // The check above excludes values that do not fit.
+            millicores: (raw.cores * 1_000.0) as u32,
             topology,
             listen: raw.listen,
             store: raw.store,
@@ -177,6 +189,9 @@
     }
 }
 
+/// The most cores of a host; a larger value is most likely a typo.
+const MAX_CORES: f64 = 4_096.0;
+
 /// The longest allowed duration of a planned stop, in seconds; a larger value is most likely a
 /// typo.
 const MAX_GRACE_S: f64 = 3_600.0;
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -3,7 +3,12 @@
 use oleanderspan::{
     availability,
     backend::{self, listing},
-    entry::{self, journal::Entry, membership::jitter, roster::Peer},
+    entry::{
+        self,
+        journal::Entry,
+        membership::jitter,
+        roster::{Candidate, Peer},
+    },
     prelude::*,
     route::Table,
     service,
@@ -176,7 +181,9 @@
     }
     let settings = &state.settings;
     let view = state.view();
-    view.roster.reader(&settings.host, settings.zone, topic.as_str(), now).cloned()
+    let own =
+        Candidate { name: &settings.host, zone: settings.zone, millicores: settings.millicores };
+    view.roster.reader(own, topic.as_str(), now).cloned()
 }
 
 /// Reads the changes since version `after` from the host that follows the store.
@@ -366,6 +373,7 @@
         callers: listen.callers,
         peers: listen.peers,
         zone: zone.map(|zone| zone.to_string()).unwrap_or_default(),
+        millicores: state.settings.millicores,
     };
     let value = match codec::to_json(&own) {
         Ok(value) => value,
@@ -402,7 +410,8 @@
                             continue;
                         };
                         let (caller_address, address) = (host.callers, host.peers);
-                        let peer = Peer { name, caller_address, address, zone };
+                        let millicores = host.millicores;
+                        let peer = Peer { name, caller_address, address, zone, millicores };
                         match region == state.settings.region {
                             true => {
                                 view.roster.insert(peer);
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -42,6 +42,19 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: availability::Index,
+    /// Processor time in thousandths of a core; 0 if unknown.
+    pub millicores: u32,
+}
+
+/// A host that may read the store for the others of its zone.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Unique among the hosts.
+    pub name: &'a entry::Name,
+    /// Availability zone.
+    pub zone: availability::Index,
+    /// Processor time in thousandths of a core; 0 if unknown.
+    pub millicores: u32,
 }
 
 #[derive(Debug)]
@@ -146,24 +159,26 @@
         self.len() == 0
     }
 
-    /// The host that reads `topic` from the store for all hosts of `zone`, or `None` if `own`, a
+    /// The host that reads `topic` from the store for all hosts of a zone, or `None` if `own`, a
     /// host of that zone, should read the store itself.
-    pub fn reader(
-        &self,
-        own: &entry::Name,
-        zone: availability::Index,
-        topic: &str,
-        now: Instant,
-    ) -> Option<&Peer> {
+    ///
+    /// Only a host with the most processor time reads for others: all of them learn of changes as
+    /// late as it does, and a small one is behind with its work when clients press.
+    pub fn reader(&self, own: Candidate<'_>, topic: &str, now: Instant) -> Option<&Peer> {
         let live = self.peers.values().filter(|state| is_live(state, now) && !state.is_leaving);
-        let near = live.map(|state| &state.peer).filter(|peer| peer.zone == zone);
+        let near = live.map(|state| &state.peer).filter(|peer| peer.zone == own.zone);
         let near: Vec<&Peer> = near.collect();
         if near.len() + 1 < SHARED_READER_MIN_HOSTS {
             return None;
         }
-        let first = rank::highest(near, topic, |peer| peer.name.as_str())?;
+        let most = near.iter().map(|peer| peer.millicores).max()?;
+        if own.millicores > most {
+            return None;
+        }
+        let largest = near.into_iter().filter(|peer| peer.millicores == most);
+        let first = rank::highest(largest, topic, |peer| peer.name.as_str())?;
         let weight = |host: &entry::Name| rank::weight(topic, host.as_str());
-        (weight(&first.name) > weight(own)).then_some(first)
+        (own.millicores < most || weight(&first.name) > weight(own.name)).then_some(first)
     }
 
     /// Number of hosts that read a topic from the store when all hosts see each other as live. This
--- a/crates/oleanderspan/tests/roster.rs
+++ b/crates/oleanderspan/tests/roster.rs
@@ -8,7 +8,7 @@
     availability,
     entry::{
         Name, Roster,
-        roster::{LIVENESS_TIMEOUT, Peer, Report},
+        roster::{Candidate, LIVENESS_TIMEOUT, Peer, Report},
     },
     prelude::*,
     region,
@@ -24,9 +24,14 @@
         name: Name::try_from(name).unwrap(),
         caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, port + 1)),
+        millicores: 0,
     }
 }
 
+fn candidate(name: &Name) -> Candidate<'_> {
+    Candidate { name, zone: availability::Index(0), millicores: 0 }
+}
+
 fn live(roster: &Roster, millis: u64) -> Vec<String> {
     roster.live_peers(at(millis)).iter().map(|peer| peer.name.to_string()).collect()
 }
@@ -98,10 +103,10 @@
                 roster.record_answer(&other.name, false, now);
             }
             let own = Name::try_from(*own).unwrap();
-            let reader = roster.reader(&own, availability::Index(0), "t", now);
+            let reader = roster.reader(candidate(&own), "t", now);
             readers.push(reader.map_or(own.clone(), |peer| peer.name.clone()));
-            let distant = availability::Index(1);
-            assert_eq!(roster.reader(&own, distant, "t", now), None, "that zone has no other host");
+            let distant = Candidate { zone: availability::Index(1), ..candidate(&own) };
+            assert_eq!(roster.reader(distant, "t", now), None, "that zone has no other host");
         }
         readers
     };
@@ -112,6 +117,44 @@
     assert!(three.iter().zip(names).all(|(reader, own)| reader.as_str() == own), "{three:?}");
 }
 
+/// Guards against a small host that reads for larger ones: they learn of changes as late as it does.
+#[test]
+fn hosts_with_the_most_processor_time_read_for_their_zone() {
+    const SMALL: u32 = 100;
+    const LARGE: u32 = 500;
+    let hosts = [("a", SMALL), ("b", LARGE), ("c", SMALL), ("d", LARGE), ("e", SMALL)];
+    let live = |own: &str| {
+        let mut roster = Roster::default();
+        for (name, millicores) in hosts.iter().filter(|(name, _)| *name != own) {
+            let peer = Peer { millicores: *millicores, ..peer(name, 1) };
+            roster.insert(peer.clone());
+            roster.record_answer(&peer.name, false, at(0));
+        }
+        roster
+    };
+    for topic in (0..20).map(|i| format!("topic-{i}")) {
+        let readers = hosts.map(|(name, millicores)| {
+            let own = Name::try_from(name).unwrap();
+            let own = Candidate { millicores, ..candidate(&own) };
+            let roster = live(name);
+            roster.reader(own, &topic, at(0)).map_or(name.to_owned(), |peer| peer.name.to_string())
+        });
+        assert!(readers.iter().all(|reader| *reader == readers[0]), "{topic}: {readers:?}");
+        assert!(["b", "d"].contains(&readers[0].as_str()), "{topic}: {readers:?}");
+    }
+    // The small ones read once no large one is left.
+    let mut roster = live("a");
+    for name in ["b", "d"] {
+        roster.record_failure(&Name::try_from(name).unwrap(), at(0));
+    }
+    roster.insert(Peer { millicores: SMALL, ..peer("f", 2) });
+    roster.record_answer(&Name::try_from("f").unwrap(), false, at(0));
+    let own = Name::try_from("a").unwrap();
+    let own = Candidate { millicores: SMALL, ..candidate(&own) };
+    let topics = (0..20).map(|i| format!("topic-{i}"));
+    assert!(topics.into_iter().any(|topic| roster.reader(own, &topic, at(0)).is_some()));
+}
+
 /// Guards against relying on a reader that has failed.
 #[test]
 fn failed_reader_is_replaced() {
@@ -122,13 +165,13 @@
         roster.record_answer(&peer.name, false, at(0));
     }
     let own = Name::try_from("a").unwrap();
-    let zone = availability::Index(0);
+    let own = candidate(&own);
     let topic = (0..).map(|i| format!("topic-{i}"));
-    let topic = topic.take(100).find(|topic| roster.reader(&own, zone, topic, at(0)).is_some());
+    let topic = topic.take(100).find(|topic| roster.reader(own, topic, at(0)).is_some());
     let topic = topic.unwrap();
-    let first = roster.reader(&own, zone, &topic, at(0)).unwrap().name.clone();
+    let first = roster.reader(own, &topic, at(0)).unwrap().name.clone();
     roster.record_failure(&first, at(0));
-    let next = roster.reader(&own, zone, &topic, at(0)).map(|peer| peer.name.clone());
+    let next = roster.reader(own, &topic, at(0)).map(|peer| peer.name.clone());
     assert_ne!(next, Some(first));
 }
 
