--- a/crates/node/src/bin/control.rs
+++ b/crates/node/src/bin/control.rs
@@ -16,7 +16,7 @@
     };
     let process = format!("{}/control", settings.host.name);
     let (log, _guard) = log::start(&settings.log, &process);
-    daemon::block_on(THREADS, log.clone(), |stop: CancellationToken| {
+    daemon::block_on(THREADS, log.clone(), daemon::Repeat::Exit, |stop: CancellationToken| {
         control::run(settings, log, stop)
     })
 }
--- a/crates/node/src/bin/entry.rs
+++ b/crates/node/src/bin/entry.rs
@@ -13,7 +13,10 @@
     };
     let process = format!("{}/entry", settings.host.name);
     let (log, _guard) = log::start(&settings.log, &process);
-    daemon::block_on(settings.entry.threads, log.clone(), |stop: CancellationToken| {
-        entry::run(settings, log, stop)
-    })
+    daemon::block_on(
+        settings.entry.threads,
+        log.clone(),
+        daemon::Repeat::Exit,
+        |stop: CancellationToken| entry::run(settings, log, stop),
+    )
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -35,21 +35,40 @@
     Ok(settings)
 }
 
-/// Cancels `stop` at the first SIGTERM or SIGINT and exits the process with status 1 at the
-/// second.
-pub async fn watch_signals(log: Logger, stop: CancellationToken) -> std::io::Result<()> {
+/// What a repeated SIGTERM does during a graceful shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Ends the process at once, for operators who cannot wait.
+    Exit,
+    /// Nothing: whoever cannot wait sends SIGKILL.
+    Ignore,
+}
+
+/// Cancels `stop` at the first SIGTERM or SIGINT and exits the process with status 1 at a second
+/// SIGINT, or at a second SIGTERM if `repeat` says so.
+pub async fn watch_signals(
+    log: Logger,
+    stop: CancellationToken,
+    repeat: Repeat,
+) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut next_signal = async || {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    info!(log, "signal received; starting graceful shutdown");
+    stop.cancel();
+    loop {
         tokio::select! {
             _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            _ = interrupt.recv() => break,
         }
-    };
-    next_signal().await;
-    info!(log, "signal received; starting graceful shutdown");
-    stop.cancel();
-    next_signal().await;
+        if repeat == Repeat::Exit {
+            break;
+        }
+        info!(log, "SIGTERM received again; graceful shutdown continues");
+    }
     warn!(log, "second signal received; exiting without waiting for requests in flight");
     std::process::exit(1);
 }
@@ -59,6 +78,7 @@
 pub fn block_on<F: Future<Output = std::io::Result<()>>>(
     threads: usize,
     log: Logger,
+    repeat: Repeat,
     run: impl FnOnce(CancellationToken) -> F,
 ) -> ExitCode {
     let runtime =
@@ -66,7 +86,7 @@
     let result = runtime.and_then(|runtime| {
         runtime.block_on(async {
             let stop = CancellationToken::new();
-            tokio::spawn(watch_signals(log.clone(), stop.clone()));
+            tokio::spawn(watch_signals(log.clone(), stop.clone(), repeat));
             run(stop).await
         })
     });
