Test that no waiter of a pool with borrowed servers is left behind

Cause: waiters bound to a region are set aside while other threads release slots; no test had several threads. Change: four threads queue 80,000 waiters, two in three bound to the region, on two slots there and four borrowed ones.

--- a/crates/oleanderspan/tests/server_queues.rs
+++ b/crates/oleanderspan/tests/server_queues.rs
@@ -1,4 +1,4 @@
-//! Several threads queue waiters for single servers and replace the servers of the pool.
+//! Several threads queue waiters in a pool, for single servers and for any, and replace its servers.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -8,6 +8,7 @@
     thread,
 };
 
+use crossbeam_queue::SegQueue;
 use oleanderspan::{
     availability::{self, Location},
     backend::{
@@ -24,6 +25,9 @@
 /// Waiters that each thread queues.
 const WAITERS: usize = 100_000;
 
+/// Waiters that each thread queues for a pool with borrowed servers.
+const BORROWERS: usize = 20_000;
+
 const LIMIT: Duration = Duration::from_secs(9);
 
 /// A waiter that has left the queue before it is granted a slot.
@@ -40,10 +44,14 @@
 }
 
 fn server() -> Arc<Server> {
-    let name = Name::try_from("server-1").unwrap();
-    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
-    let location = Location { zone: availability::Index(0), region: region::Index(0) };
-    Arc::new(Server::new(Identity { name, incarnation: 1 }, address, location, 4))
+    server_in(region::Index(0), 1, 4)
+}
+
+fn server_in(region: region::Index, number: u16, slots: u32) -> Arc<Server> {
+    let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, number));
+    let location = Location { zone: availability::Index(region.0), region };
+    Arc::new(Server::new(Identity { name, incarnation: 1 }, address, location, slots))
 }
 
 /// Admission refuses requests by this number.
@@ -94,3 +102,55 @@
     pool.update(Vec::new(), u32::MAX);
     assert_eq!(pool.queued_before(Rank::default(), &Criteria::default()), 0);
 }
+
+/// A waiter that records the server that it is granted.
+struct Recorded<'a> {
+    is_bound: bool,
+    granted: &'a SegQueue<(bool, Arc<Server>)>,
+}
+
+impl Waiter for Recorded<'_> {
+    fn grant(self, server: Arc<Server>) -> Result<(), Arc<Server>> {
+        self.granted.push((self.is_bound, server));
+        Ok(())
+    }
+}
+
+/// Slots become free while other threads set waiters aside that only some slots suit.
+#[test]
+fn every_waiter_of_a_pool_with_borrowed_servers_is_granted_a_slot_that_suits_it() {
+    let granted = SegQueue::new();
+    let own = region::Index(0);
+    let pool = Pool::for_region(own, OverloadPolicy::ServeUntilLimit);
+    let servers = [server_in(own, 1, 2), server_in(region::Index(1), 2, 4)];
+    pool.update(servers.to_vec(), u32::MAX);
+    let served = AtomicUsize::new(0);
+    let (total, began) = (THREADS * BORROWERS, std::time::Instant::now());
+    thread::scope(|scope| {
+        for thread in 0..THREADS {
+            let (pool, granted, served) = (&pool, &granted, &served);
+            scope.spawn(move || {
+                for i in 0..BORROWERS {
+                    let is_bound = (i + thread) % 3 > 0;
+                    let region = is_bound.then_some(own);
+                    let criteria = Criteria { region, ..Criteria::default() };
+                    let waiter = Recorded { is_bound, granted };
+                    pool.enqueue_ranked(waiter, Rank::default(), criteria, LIMIT, at(1));
+                }
+                while served.load(Ordering::SeqCst) < total {
+                    let Some((is_bound, server)) = granted.pop() else {
+                        let count = served.load(Ordering::SeqCst);
+                        assert!(began.elapsed() < LIMIT, "{count} of {total} waiters are served");
+                        thread::yield_now();
+                        continue;
+                    };
+                    assert!(!is_bound || server.location.region == own);
+                    served.fetch_add(1, Ordering::SeqCst);
+                    pool.release(&server, at(1));
+                }
+            });
+        }
+    });
+    assert_eq!(pool.queued(), 0);
+    assert!(servers.iter().all(|server| server.in_flight() == 0));
+}
