--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -108,11 +108,7 @@
     let mut criteria = requirements.criteria.clone();
     for _ in 0..MAX_ATTEMPTS {
         let snapshot = state.snapshot();
-        let elapsed = state.clock.now().since(started_at);
-        let time = TimeLeft {
-            objective: requirements.time.objective.saturating_sub(elapsed),
-            deadline: requirements.time.deadline.saturating_sub(elapsed),
-        };
+        let time = requirements.time.after(state.clock.now().since(started_at));
         let is_own_region = requirements.region == state.settings.region;
         let peer = snapshot
             .remote_arbiter(&state.settings, requirements.service)
--- a/crates/node/src/gateway/slots.rs
+++ b/crates/node/src/gateway/slots.rs
@@ -91,11 +91,7 @@
         Placement::AnyServer => Err(time),
         Placement::ServerQueue(server) => {
             let lease = slot::wait_for_server(pool, clock, &server, rank, max_wait).await;
-            let elapsed = clock.now().since(started_at);
-            lease.ok_or(TimeLeft {
-                objective: time.objective.saturating_sub(elapsed),
-                deadline: time.deadline.saturating_sub(elapsed),
-            })
+            lease.ok_or(time.after(clock.now().since(started_at)))
         }
     }
 }
@@ -130,7 +126,7 @@
             let granted = slot::wait_ranked(pool, clock, rank, criteria, limit).await;
             granted.ok_or_else(|| AcquireError {
                 refusal: Refusal::Overloaded,
-                retry_after: Some(load.expected_wait().min(time.deadline)),
+                retry_after: Some(admission::retry_after(time.after(limit), &load)),
             })
         }
     }
--- a/crates/oleanderspan/src/request/admission.rs
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -40,6 +40,16 @@
     pub deadline: Duration,
 }
 
+impl TimeLeft {
+    /// The time left after `elapsed` more.
+    pub fn after(self, elapsed: Duration) -> TimeLeft {
+        TimeLeft {
+            objective: self.objective.saturating_sub(elapsed),
+            deadline: self.deadline.saturating_sub(elapsed),
+        }
+    }
+}
+
 /// The load of a pool's servers, as seen by a request that finds no free slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -123,8 +133,14 @@
     if wait <= limit {
         return Decision::Wait { limit };
     }
-    let max_retry_after = time.deadline * MAX_RETRY_AFTER_PERCENT / 100;
-    Decision::Refuse { retry_after: wait.min(max_retry_after).max(MIN_RETRY_AFTER) }
+    Decision::Refuse { retry_after: retry_after(time, load) }
+}
+
+/// How long a refused client should wait before it retries: the expected queue time, but not so
+/// long that it has no time left, nor so short that nothing can have changed.
+pub fn retry_after(time: TimeLeft, load: &Load) -> Duration {
+    let max = time.deadline * MAX_RETRY_AFTER_PERCENT / 100;
+    load.expected_wait().min(max).max(MIN_RETRY_AFTER)
 }
 
 fn latency_or_default(latency: Duration) -> Duration {
