Wait in the log test for a line behind the report of dropped ones

If the writer has taken one record just then, the report of dropped lines takes the last place in the queue, and the line that brought it is dropped. It is counted, and reported with the next line, but the test ended with the first report and read no further. Change: the test goes on until a line has been written behind a report, so that all drops are reported. It compares the same sums, exactly, and sees the later report too.

--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -52,11 +52,17 @@
     assert!(result.is_ok(), "logging blocked the calling thread for 20 s");
     resume.send(()).unwrap();
     let logger = writer.join().unwrap();
-    // The number of dropped lines is logged with the first line that fits into the queue again.
+    // The number of dropped lines is logged with the first line that fits into the queue again. That
+    // report may take the last place, so that its own line is dropped too: once a line has been written
+    // after it, all are accounted for.
     let text = || String::from_utf8(read.lock().unwrap().clone()).unwrap();
     let began = std::time::Instant::now();
     let mut logged = LINES;
-    while !text().contains("dropped") && began.elapsed() < Duration::from_secs(10) {
+    let is_accounted = |text: &str, logged: usize| {
+        let last = format!("request={}\n", logged - 1);
+        text.find("dropped").is_some_and(|report| text[report..].contains(&last))
+    };
+    while !is_accounted(&text(), logged) && began.elapsed() < Duration::from_secs(10) {
         info!(logger, "request ended without a response"; "request" => logged);
         logged += 1;
         std::thread::sleep(Duration::from_millis(20));
