Try no port in tests of the lab while a process is being spawned

What callers see: nothing; a fault of the test harness. Ports are tried by binding them; a process that another thread spawns just then inherits the socket and holds the port until it executes its program, which takes long on a busy machine. Change: one lock covers trying ports and spawning, as in the tests of the gateway.

--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -11,6 +11,7 @@
     ops::Range,
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -40,7 +41,7 @@
 const BASES: std::ops::Range<u16> = 20_000..32_000;
 
 /// Ports of one run.
-const PORTS_PER_RUN: u16 = 600;
+pub const PORTS_PER_RUN: u16 = 600;
 
 /// A deployment that runs until it is dropped.
 pub struct Bench {
@@ -164,7 +165,8 @@
     /// Sends a signal to one daemon: `STOP`, `CONT` or `TERM`.
     pub fn signal(&mut self, host: u16, daemon: Daemon, signal: &str) {
         let id = self.slot(host, daemon).as_ref().unwrap().id().to_string();
-        let status = Command::new("kill").args([&format!("-{signal}"), &id]).status().unwrap();
+        let mut kill = Command::new("kill");
+        let status = spawn_process(kill.args([&format!("-{signal}"), &id])).wait().unwrap();
         assert!(status.success());
     }
 
@@ -189,11 +191,10 @@
 
     /// Runs the operator's command in the folder of the deployment.
     pub fn operate(&self, arguments: &[&str]) -> Output {
-        Command::new(binary("oleanderspan"))
-            .args(arguments)
-            .current_dir(&self.folder)
-            .output()
-            .unwrap()
+        let mut command = Command::new(binary("oleanderspan"));
+        command.args(arguments).current_dir(&self.folder).stdin(Stdio::null());
+        let child = spawn_process(command.stdout(Stdio::piped()).stderr(Stdio::piped()));
+        child.wait_with_output().unwrap()
     }
 
     /// Proposes `production.json` and waits until every host has it in force.
@@ -467,10 +468,21 @@
     }
 }
 
+/// Held while ports are tried and while a process is spawned: a child inherits the open sockets of
+/// this process until it executes its program, which would keep a tried port in use.
+static SPAWN_LOCK: Mutex<()> = Mutex::new(());
+
+/// Spawns a process while no port is being tried.
+pub fn spawn_process(command: &mut Command) -> Child {
+    let _guard = SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().unwrap()
+}
+
 /// Finds ports that no other run on this machine uses; a datagram socket marks them as taken.
 ///
 /// Processes of a run that was killed may go on listening, so the ports are tried as well.
-fn reserve_ports() -> (Ports, UdpSocket) {
+pub fn reserve_ports() -> (Ports, UdpSocket) {
+    let _guard = SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let mut bases = BASES.step_by(usize::from(PORTS_PER_RUN));
     let reserve = |base| {
         let mark = UdpSocket::bind(("127.0.0.1", base)).ok()?;
@@ -488,11 +500,7 @@
 
 fn launch(folder: &PathBuf, log: &str, name: &str, arguments: &[&str]) -> Child {
     let log = fs::File::create(folder.join(format!("{log}.log"))).unwrap();
-    Command::new(binary(name))
-        .args(arguments)
-        .current_dir(folder)
-        .stdout(Stdio::null())
-        .stderr(log)
-        .spawn()
-        .unwrap()
+    let mut command = Command::new(binary(name));
+    command.args(arguments).current_dir(folder).stdout(Stdio::null()).stderr(log);
+    spawn_process(&mut command)
 }
