Log which host the routes come from and since when a feed is silent

The line "routes in force" names the host that read the routes, and the gauge gateway.feed_silence_ms gives, by topic, the time since the store or that host last answered.

--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -1,7 +1,10 @@
 //! Serves the store's changes that one host of a zone reads to the other hosts; see
 //! [`oleanderspan::entry::journal`].
 
-use std::fmt;
+use std::{
+    fmt,
+    sync::atomic::{AtomicU64, Ordering},
+};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -29,33 +32,50 @@
 
 /// The journal of one topic, and the long polls that wait for its changes.
 #[derive(Debug)]
-pub struct Feed(watch::Sender<Journal<Bytes>>);
+pub struct Feed {
+    journal: watch::Sender<Journal<Bytes>>,
+    /// When the store, or the host that reads it, last answered this host, in nanoseconds.
+    answered_nanos: AtomicU64,
+}
 
 impl Default for Feed {
     fn default() -> Feed {
-        Feed(watch::Sender::new(Journal::default()))
+        Feed {
+            journal: watch::Sender::new(Journal::default()),
+            answered_nanos: AtomicU64::new(Instant::ZERO.as_nanos()),
+        }
     }
 }
 
 impl Feed {
+    /// Records that the store, or the host that reads it, has answered this host.
+    pub fn record_answer(&self, now: Instant) {
+        self.answered_nanos.store(now.as_nanos(), Ordering::Relaxed);
+    }
+
+    /// Time since the last answer, or since the start of this process if there was none.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.since(Instant::from_nanos(self.answered_nanos.load(Ordering::Relaxed)))
+    }
+
     /// Appends the next changes that this host has read from the store.
     pub fn push(&self, entry: Entry<Bytes>) {
-        self.0.send_modify(|journal| journal.push(entry));
+        self.journal.send_modify(|journal| journal.push(entry));
     }
 
     /// Restarts the journal at `version` after this host has read the topic in full.
     pub fn restart(&self, version: u64) {
-        self.0.send_modify(|journal| journal.reset(version));
+        self.journal.send_modify(|journal| journal.reset(version));
     }
 
     /// Deactivates the journal, because this host no longer reads the topic or the store does not
     /// answer. Pending long polls end.
     pub fn stop(&self) {
-        self.0.send_if_modified(Journal::stop);
+        self.journal.send_if_modified(Journal::stop);
     }
 
     async fn next(&self, after: u64, timeout: Duration) -> Next<Bytes> {
-        let mut journal = self.0.subscribe();
+        let mut journal = self.journal.subscribe();
         let changed = journal.wait_for(|journal| journal.next(after) != Next::UpToDate);
         match tokio::time::timeout(timeout, changed).await {
             Ok(Ok(journal)) => journal.next(after),
--- a/crates/node/src/gateway/page.rs
+++ b/crates/node/src/gateway/page.rs
@@ -8,8 +8,12 @@
 };
 
 use cadence::{Gauged, MetricSink, StatsdClient};
+use oleanderspan::prelude::*;
 
-use crate::{gateway::State, log};
+use crate::{
+    gateway::{State, source::Topic},
+    log,
+};
 
 /// A metric sink that collects the lines of one page, sorted by name.
 #[derive(Debug, Default)]
@@ -50,6 +54,14 @@
         // The sink only writes to a map and never fails.
         let _ = client.gauge(name, value as u64);
     }
+    for topic in Topic::ALL {
+        let silence = state.feed(topic).silence(state.clock.now());
+        let silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+        client
+            .gauge_with_tags("gateway.feed_silence_ms", silence_ms)
+            .with_tag("topic", topic.as_str())
+            .send();
+    }
     let version = snapshot.table.as_ref().map_or(0, |table| table.version);
     let _ = client.gauge("gateway.routes_version", version);
     let counts = [
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -42,10 +42,7 @@
 
 /// Follows the operator's routes and evacuations.
 pub async fn operator<S: Source>(state: State, source: S) {
-    follow(&state, &source, Topic::Operator, |state, rows, is_full| {
-        apply_operator(state, rows, is_full);
-    })
-    .await;
+    follow(&state, &source, Topic::Operator, apply_operator).await;
 }
 
 /// Follows the backend servers, and drops removed ones after their grace period.
@@ -57,28 +54,32 @@
             expire(&expiry);
         }
     };
-    let follow = follow(&state, &source, Topic::Servers, |state, rows, is_full| {
-        apply_servers(state, rows, is_full);
-    });
+    let follow = follow(&state, &source, Topic::Servers, apply_servers);
     tokio::join!(follow, expire);
 }
 
 /// Registers this host in the store, and follows the other hosts.
 pub async fn hosts<S: Source>(state: State, source: S) {
     let announce = announce(&state, &source);
-    let follow = follow(&state, &source, Topic::Hosts, |state, rows, is_full| {
-        apply_hosts(state, rows, is_full);
-    });
+    let follow = follow(&state, &source, Topic::Hosts, apply_hosts);
     tokio::join!(announce, follow);
 }
 
-/// Reads a topic in full and then follows its changes; never returns. `apply` receives the rows,
-/// and whether they are the whole topic.
+/// Rows of a topic and where this host has them from.
+struct Update<'a> {
+    rows: Vec<Row>,
+    /// Whether the rows are the whole topic rather than changes.
+    is_full: bool,
+    /// The host that read the rows from the store, for logs; `None` for this host.
+    reader: Option<&'a entry::Name>,
+}
+
+/// Reads a topic in full and then follows its changes; never returns.
 async fn follow<S: Source>(
     state: &State,
     source: &S,
     topic: Topic,
-    apply: impl Fn(&State, Vec<Row>, bool),
+    apply: impl Fn(&State, Update<'_>),
 ) {
     let mut after = None;
     let mut backoff = MIN_BACKOFF;
@@ -93,7 +94,8 @@
             match read_from_peer(state, source, topic, version, &reader).await {
                 Ok((version, rows)) => {
                     after = Some(version);
-                    apply(state, rows, false);
+                    state.feed(topic).record_answer(state.clock.now());
+                    apply(state, Update { rows, is_full: false, reader: Some(&reader.name) });
                 }
                 Err(reason) => {
                     info!(state.log, "cannot read changes from peer; reading from the store";
@@ -118,7 +120,8 @@
                 }
                 let is_full = after.is_none();
                 after = Some(version);
-                apply(state, rows, is_full);
+                state.feed(topic).record_answer(state.clock.now());
+                apply(state, Update { rows, is_full, reader: None });
                 // Lets further changes accumulate: each batch costs every reading host one call.
                 let readers = state.view().roster.expected_readers() + 1;
                 tokio::time::sleep(topic.batch_interval(readers)).await;
@@ -202,12 +205,13 @@
     Ok((page.version, rows))
 }
 
-fn apply_operator(state: &State, rows: Vec<Row>, is_full: bool) {
+fn apply_operator(state: &State, update: Update<'_>) {
+    let Update { rows, is_full, reader } = update;
     let mut active = Set::default();
     for row in rows {
         match row {
             Row::Routes(Ok(raw)) => match Table::try_from(raw) {
-                Ok(table) => activate_routes(state, table),
+                Ok(table) => activate_routes(state, table, reader),
                 Err(error) => warn!(state.log, "new routes rejected; keeping the current ones";
                     "reason" => %error),
             },
@@ -236,7 +240,7 @@
     }
 }
 
-fn activate_routes(state: &State, table: Table) {
+fn activate_routes(state: &State, table: Table, reader: Option<&entry::Name>) {
     state.update(|view, _| {
         let old = view.table.as_ref().map(|table| table.version);
         if !table.supersedes(old) {
@@ -246,7 +250,8 @@
             table.inherit_observations(before);
         }
         info!(state.log, "routes in force"; "version" => table.version, "before" => old,
-            "routes" => table.len(), "bound_routes" => table.bound_routes());
+            "routes" => table.len(), "bound_routes" => table.bound_routes(),
+            "reader" => reader.map(entry::Name::as_str));
         view.table = Some(Arc::new(table));
         true
     });
@@ -270,7 +275,8 @@
     });
 }
 
-fn apply_servers(state: &State, rows: Vec<Row>, is_full: bool) {
+fn apply_servers(state: &State, update: Update<'_>) {
+    let Update { rows, is_full, .. } = update;
     state.update(|view, now| {
         let mut listed = Set::default();
         let mut has_changed = is_full;
@@ -391,7 +397,8 @@
     }
 }
 
-fn apply_hosts(state: &State, rows: Vec<Row>, is_full: bool) {
+fn apply_hosts(state: &State, update: Update<'_>) {
+    let Update { rows, is_full, .. } = update;
     state.update(|view, _| {
         let mut listed: Set<entry::Name> = Set::default();
         for row in rows {
