Let the reader of a zone vouch for the store only while it answers

Cause: one host of a zone reads the store for the others and told them each second that nothing had changed, also while its own long poll of 20 s was not answered. The store was silent to that host and answered all others. No host logged an outage.

An answer of the store now counts for 1.6 s. A host that reads operator changes or servers for others lets its long polls end after 1.2 s, and sends the others to the store once its latest answer no longer counts. Changes that it has read stay valid; only the claim that there are no later ones ends. Hosts that read for themselves keep their polls of 20 s.

--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    clock::Monotonic,
     gateway::{
         State,
         message::{self, FOLLOW_PATH, Follow},
@@ -30,6 +31,10 @@
 /// longer is too busy to read for others.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// How long a host whose latest answer of the store no longer counts waits for the next one before
+/// it sends those that ask it to the store.
+const EXPIRY_GRACE: Duration = Duration::from_millis(200);
+
 /// The journal of one topic, and the long polls that wait for its changes.
 #[derive(Debug)]
 pub struct Feed {
@@ -58,14 +63,16 @@
         now.since(Instant::from_nanos(self.answered_nanos.load(Ordering::Relaxed)))
     }
 
-    /// Appends the next changes that this host has read from the store.
-    pub fn push(&self, entry: Entry<Bytes>) {
-        self.journal.send_modify(|journal| journal.push(entry));
+    /// Appends the next changes that this host has read from the store, or the answer that there are
+    /// none; it counts until `valid_until`.
+    pub fn push(&self, entry: Entry<Bytes>, valid_until: Instant) {
+        self.journal.send_modify(|journal| journal.push(entry, valid_until));
     }
 
-    /// Restarts the journal at `version` after this host has read the topic in full.
-    pub fn restart(&self, version: u64) {
-        self.journal.send_modify(|journal| journal.reset(version));
+    /// Restarts the journal at `version` after this host has read the topic in full. The answer
+    /// counts until `valid_until`.
+    pub fn restart(&self, version: u64, valid_until: Instant) {
+        self.journal.send_modify(|journal| journal.reset(version, valid_until));
     }
 
     /// Deactivates the journal, because this host no longer reads the topic or the store does not
@@ -74,14 +81,32 @@
         self.journal.send_if_modified(Journal::stop);
     }
 
-    async fn next(&self, after: u64, timeout: Duration) -> Next<Bytes> {
+    /// Waits up to `timeout` for the changes after a version, but no longer than the latest answer of
+    /// the store counts.
+    async fn next(&self, after: u64, timeout: Duration, clock: Monotonic) -> Next<Bytes> {
         let mut journal = self.journal.subscribe();
-        let changed = journal.wait_for(|journal| journal.next(after) != Next::UpToDate);
-        match tokio::time::timeout(timeout, changed).await {
-            Ok(Ok(journal)) => journal.next(after),
-            // Unreachable: `self` owns the sender.
-            Ok(Err(_)) => Next::Inactive,
-            Err(_) => Next::UpToDate,
+        let began = clock.now();
+        loop {
+            let now = clock.now();
+            let (next, valid_until) = {
+                let journal = journal.borrow_and_update();
+                (journal.next(after, now), journal.valid_until())
+            };
+            let ends = match (&next, valid_until) {
+                (Next::UpToDate, Some(valid_until)) => valid_until.min(began + timeout),
+                // A change reaches all hosts at about the same time, so another one may ask for the
+                // next change before this host has read the current one.
+                (Next::Inactive, Some(valid_until)) => valid_until.max(began) + EXPIRY_GRACE,
+                _ => return next,
+            };
+            if now >= ends {
+                return next;
+            }
+            let changed = tokio::time::timeout(ends.since(now), journal.changed()).await;
+            if let Ok(Err(_)) = changed {
+                // Unreachable: `self` owns the sender.
+                return Next::Inactive;
+            }
         }
     }
 }
@@ -91,7 +116,9 @@
 pub async fn serve<G>(state: &State, follow: &Follow) -> Response<Body<G>> {
     let topic = Topic::ALL.into_iter().find(|topic| topic.as_str() == follow.topic);
     let next = match topic {
-        Some(topic) => state.feed(topic).next(follow.after, topic.feed_timeout()).await,
+        Some(topic) => {
+            state.feed(topic).next(follow.after, topic.feed_timeout(), state.clock).await
+        }
         None => Next::Inactive,
     };
     let (status, body) = match &next {
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -34,6 +34,14 @@
 /// How long a host that reads urgent changes for others may go without an answer to them.
 const URGENT_FEED_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How often the store must show a host that reads urgent changes for others that it still answers.
+/// The others learn of a change within two seconds although the store has fallen silent to that host;
+/// a shorter interval costs calls of the store.
+const URGENT_CONFIRMATION_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// How much later than expected an answer of the store may come: a slow one takes some 350 ms.
+const CONFIRMATION_MARGIN: Duration = Duration::from_millis(400);
+
 /// How long a long poll for changes that are not urgent stays open at the host that reads them.
 const FEED_TIMEOUT: Duration = Duration::from_millis(20_000);
 
@@ -51,6 +59,20 @@
         }
     }
 
+    /// How long a long poll stays open at the store while this host reads the topic for others. An
+    /// answer without changes shows that the store still answers this host.
+    pub const fn confirmation_interval(self) -> Duration {
+        match self {
+            Topic::Operator | Topic::Servers => URGENT_CONFIRMATION_INTERVAL,
+            Topic::Hosts => FEED_TIMEOUT,
+        }
+    }
+
+    /// How long after an answer of the store this host may tell others that nothing has changed.
+    pub const fn confirmation_validity(self) -> Duration {
+        self.confirmation_interval().saturating_add(CONFIRMATION_MARGIN)
+    }
+
     /// How long to wait after a change before the next call, so that further changes are read in
     /// the same batch. Each batch costs each of the `hosts` hosts that read the store one call, so
     /// the interval grows with their number.
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -165,13 +165,18 @@
         for page in pages {
             rows.extend(source.decode(topic, &page.bytes)?);
         }
-        state.feed(topic).restart(version);
+        state.feed(topic).restart(version, state.clock.now() + topic.confirmation_validity());
         return Ok((version, rows));
     };
-    let page = source.follow(topic, after, LONG_POLL_TIMEOUT).await?;
+    let wait = match reads_for_others(state, topic) {
+        true => topic.confirmation_interval(),
+        false => LONG_POLL_TIMEOUT,
+    };
+    let page = source.follow(topic, after, wait).await?;
     let rows = source.decode(topic, &page.bytes)?;
     let version = page.version;
-    state.feed(topic).push(Entry { after, version, page: page.bytes });
+    let entry = Entry { after, version, page: page.bytes };
+    state.feed(topic).push(entry, state.clock.now() + topic.confirmation_validity());
     Ok((version, rows))
 }
 
@@ -182,11 +187,18 @@
     if now < direct_until {
         return None;
     }
+    state.view().roster.reader(own_candidate(state), topic.as_str(), now).cloned()
+}
+
+/// Whether this host reads a topic on behalf of the other hosts of its zone.
+fn reads_for_others(state: &State, topic: Topic) -> bool {
+    let now = state.clock.now();
+    state.view().roster.reads_for_others(own_candidate(state), topic.as_str(), now)
+}
+
+fn own_candidate(state: &State) -> Candidate<'_> {
     let settings = &state.settings;
-    let view = state.view();
-    let own =
-        Candidate { name: &settings.host, zone: settings.zone, millicores: settings.millicores };
-    view.roster.reader(own, topic.as_str(), now).cloned()
+    Candidate { name: &settings.host, zone: settings.zone, millicores: settings.millicores }
 }
 
 /// Reads the changes since version `after` from the host that follows the store.
--- a/crates/oleanderspan/src/entry/journal.rs
+++ b/crates/oleanderspan/src/entry/journal.rs
@@ -6,6 +6,8 @@
 
 use std::collections::VecDeque;
 
+use crate::prelude::*;
+
 /// Number of entries kept, so that a host that was busy or disconnected for some seconds can
 /// catch up.
 const MAX_ENTRIES: usize = 64;
@@ -26,11 +28,12 @@
 pub enum Next<P> {
     /// The next changes; they may start before the requested version.
     Entry(Entry<P>),
-    /// There are no changes after that version yet.
+    /// There are no changes after that version, according to a recent answer of the store.
     UpToDate,
     /// The journal no longer has, or never had, the changes after that version.
     Truncated,
-    /// This host does not read from the store, or the store does not answer.
+    /// This host does not read from the store, or the store has not answered it lately. Silence of
+    /// the store does not prove that nothing has changed: it may answer other hosts.
     Inactive,
 }
 
@@ -40,22 +43,27 @@
     is_active: bool,
     entries: VecDeque<Entry<P>>,
     version: u64,
+    /// Until when the latest answer of the store shows that there are no later changes.
+    valid_until: Instant,
 }
 
 impl<P> Default for Journal<P> {
     fn default() -> Journal<P> {
-        Journal { is_active: false, entries: VecDeque::new(), version: 0 }
+        let (entries, valid_until) = (VecDeque::new(), Instant::ZERO);
+        Journal { is_active: false, entries, version: 0, valid_until }
     }
 }
 
 impl<P: Clone> Journal<P> {
-    /// Appends the next changes from the store; a gap in versions discards the earlier entries.
-    pub fn push(&mut self, entry: Entry<P>) {
+    /// Appends the next changes from the store, or the answer that there are none. A gap in versions
+    /// discards the earlier entries.
+    pub fn push(&mut self, entry: Entry<P>, valid_until: Instant) {
         if !self.is_active || self.version != entry.after {
             self.entries.clear();
         }
         self.is_active = true;
         self.version = entry.version;
+        self.valid_until = valid_until;
         if entry.version > entry.after {
             self.entries.push_back(entry);
         }
@@ -65,8 +73,8 @@
     }
 
     /// Empties and activates the journal after a full read of the store at `version`.
-    pub fn reset(&mut self, version: u64) {
-        *self = Journal { is_active: true, entries: VecDeque::new(), version };
+    pub fn reset(&mut self, version: u64, valid_until: Instant) {
+        *self = Journal { is_active: true, entries: VecDeque::new(), version, valid_until };
     }
 
     /// Deactivates the journal because the store does not answer or another host reads. Returns
@@ -77,13 +85,18 @@
         was_live
     }
 
+    /// Until when the latest answer of the store counts, or `None` if the journal is not active.
+    pub fn valid_until(&self) -> Option<Instant> {
+        self.is_active.then_some(self.valid_until)
+    }
+
     /// Looks up the changes that follow version `after`.
-    pub fn next(&self, after: u64) -> Next<P> {
+    pub fn next(&self, after: u64, now: Instant) -> Next<P> {
         if !self.is_active {
             return Next::Inactive;
         }
         if after >= self.version {
-            return Next::UpToDate;
+            return if now < self.valid_until { Next::UpToDate } else { Next::Inactive };
         }
         let entry = self.entries.iter().find(|entry| after < entry.version);
         match entry.filter(|entry| entry.after <= after) {
