Ask the store again when other hosts have read later changes

Callers could see old routes for up to 24 s: the time limit of a long poll whose call the store, or the connection, had lost without a sign.

With each ping hosts name the latest change of each table that they have read. A host that misses one for 0.6 s (1.6 s for servers and hosts, whose changes are gathered) gives up its poll, also one at the host that reads for its zone, and asks the store. The time doubles with each retry, so that the answer of a slow store still arrives.

--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -10,7 +10,9 @@
 use http::{Response, StatusCode};
 use oleanderspan::{
     entry::{
+        self, Lag,
         journal::{Entry, Journal, Next},
+        lag::Missing,
         roster::Peer,
     },
     prelude::*,
@@ -21,8 +23,9 @@
     clock::Monotonic,
     gateway::{
         State,
-        message::{self, FOLLOW_PATH, Follow},
+        message::{self, Change, FOLLOW_PATH, Follow},
         source::{Page, Topic},
+        state::Shared,
     },
     http::{Body, header as names},
 };
@@ -41,6 +44,9 @@
     journal: watch::Sender<Journal<Bytes>>,
     /// When the store, or the host that reads it, last answered this host, in nanoseconds.
     answered_nanos: AtomicU64,
+    /// The version of the latest change that this host has read; 0 if there is none.
+    latest: AtomicU64,
+    lag: watch::Sender<Lag>,
 }
 
 impl Default for Feed {
@@ -48,14 +54,40 @@
         Feed {
             journal: watch::Sender::new(Journal::default()),
             answered_nanos: AtomicU64::new(Instant::ZERO.as_nanos()),
+            latest: AtomicU64::new(0),
+            lag: watch::Sender::default(),
         }
     }
 }
 
 impl Feed {
-    /// Records that the store, or the host that reads it, has answered this host.
-    pub fn record_answer(&self, now: Instant) {
+    /// Records that the store, or the host that reads it, has answered this host: it has read the
+    /// topic up to `version`, and `latest` is the latest change in the answer, or 0.
+    pub fn record_answer(&self, version: u64, latest: u64, now: Instant) {
         self.answered_nanos.store(now.as_nanos(), Ordering::Relaxed);
+        self.latest.fetch_max(latest, Ordering::Relaxed);
+        self.lag.send_modify(|lag| lag.advance(version));
+    }
+
+    /// Waits until this host has missed a change for so long that its own poll must have failed
+    /// without a sign, and returns the change. The time then starts again.
+    pub async fn wait_until_late(&self, max_lag: Duration, clock: Monotonic) -> Missing {
+        let mut lag = self.lag.subscribe();
+        loop {
+            let missing = lag.borrow_and_update().missing().cloned();
+            let now = clock.now();
+            let waits = missing.as_ref().map(|missing| missing.due_at(max_lag).since(now));
+            if let (Some(missing), Some(Duration::ZERO)) = (missing, waits) {
+                self.lag.send_modify(|lag| lag.retry(now));
+                return missing;
+            }
+            let changed = lag.changed();
+            match waits {
+                // Fails only if the sender is gone, which `self` owns.
+                None => drop(changed.await),
+                Some(waits) => drop(tokio::time::timeout(waits, changed).await),
+            }
+        }
     }
 
     /// Time since the last answer, or since the start of this process if there was none.
@@ -111,6 +143,25 @@
     }
 }
 
+/// The latest changes that this host has read, for other hosts.
+pub fn latest_changes(state: &Shared) -> Vec<Change> {
+    let change = |topic: Topic| {
+        let version = state.feed(topic).latest.load(Ordering::Relaxed);
+        (version > 0).then(|| Change { topic: topic.as_str().to_owned(), version })
+    };
+    Topic::ALL.into_iter().filter_map(change).collect()
+}
+
+/// Records the latest changes that another host has read.
+pub fn record_changes(state: &Shared, host: &entry::Name, changes: &[Change]) {
+    let now = state.clock.now();
+    for change in changes {
+        let topic = Topic::ALL.into_iter().find(|topic| topic.as_str() == change.topic);
+        let Some(topic) = topic else { continue };
+        state.feed(topic).lag.send_if_modified(|lag| lag.record_report(host, change.version, now));
+    }
+}
+
 /// Answers another host's long poll for changes: 200 with the next page, 204 if there are none yet,
 /// 410 if they are no longer available, and 503 if this host does not read the topic.
 pub async fn serve<G>(state: &State, follow: &Follow) -> Response<Body<G>> {
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -96,6 +96,18 @@
     /// Liveness of the other hosts of its zone, as observed by the sender; empty in a ping.
     #[serde(default, rename = "seen", skip_serializing_if = "Vec::is_empty")]
     pub liveness: Vec<Liveness>,
+    /// The latest changes of the store that the sender has read.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<Change>,
+}
+
+/// The latest change of a topic that a host has read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name of the topic.
+    pub topic: String,
+    /// The store's version of the change.
+    pub version: u64,
 }
 
 /// Liveness of a host, as observed by another one.
--- a/crates/node/src/gateway/peers.rs
+++ b/crates/node/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use crate::{
     codec,
     gateway::{
-        State,
+        State, feed,
         message::{self, Liveness, PING_PATH, Ping},
         state::Shared,
     },
@@ -74,6 +74,7 @@
         host: state.settings.host.to_string(),
         is_leaving: state.stop.has_begun() || !state.snapshot().is_ready(),
         liveness,
+        changes: feed::latest_changes(state),
     }
 }
 
@@ -91,6 +92,7 @@
             if let Ok(answer) = answer.as_ref()
                 && answer.host == peer.name.as_str()
             {
+                feed::record_changes(&state, &peer.name, &answer.changes);
                 state.update(|view, now| {
                     let roster = &mut view.roster;
                     let mut has_changed = roster.record_answer(&peer.name, answer.is_leaving, now);
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -42,6 +42,10 @@
 /// How much later than expected an answer of the store may come: a slow one takes some 350 ms.
 const CONFIRMATION_MARGIN: Duration = Duration::from_millis(400);
 
+/// How much later than another host this one may receive a change, beside the time for which changes
+/// are gathered: twice a round trip between regions, and the answer of a slow store.
+const MAX_LAG: Duration = Duration::from_millis(600);
+
 /// How long a long poll for changes that are not urgent stays open at the host that reads them.
 const FEED_TIMEOUT: Duration = Duration::from_millis(20_000);
 
@@ -88,6 +92,15 @@
         }
     }
 
+    /// How long this host waits for a change that another host has already read before it asks the
+    /// store again.
+    pub const fn max_lag(self) -> Duration {
+        match self {
+            Topic::Operator => MAX_LAG,
+            Topic::Servers | Topic::Hosts => MAX_BATCH_INTERVAL.saturating_add(MAX_LAG),
+        }
+    }
+
     /// The name in logs and in requests between hosts.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -155,6 +168,15 @@
     pub bytes: Bytes,
 }
 
+/// The decoded rows of a page.
+#[derive(Clone, Debug, Default)]
+pub struct Rows {
+    /// The rows, in the order of the page.
+    pub rows: Vec<Row>,
+    /// The version of the latest change among all rows of the page; 0 if it has none.
+    pub latest: u64,
+}
+
 /// A client of a platform's store.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Reads all rows of a topic. Later pages may reflect newer versions, so the caller must follow
@@ -171,7 +193,7 @@
     ) -> impl Future<Output = Result<Page, Error>> + Send;
 
     /// Decodes the rows of a page. Rows that are not meant for gateways are left out.
-    fn decode(&self, topic: Topic, page: &[u8]) -> Result<Vec<Row>, Error>;
+    fn decode(&self, topic: Topic, page: &[u8]) -> Result<Rows, Error>;
 
     /// Reads the value saved under `key`, or `None` if there is none.
     fn load(&self, key: &str) -> impl Future<Output = Result<Option<Vec<u8>>, Error>> + Send;
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -20,7 +20,7 @@
     codec,
     gateway::{
         Source, State, feed, message,
-        source::{Error, Row, Server, Topic},
+        source::{Error, Row, Rows, Server, Topic},
         state::ClusterView,
     },
 };
@@ -91,10 +91,16 @@
             && let Some(reader) = reader(state, topic, direct_until)
         {
             state.feed(topic).stop();
-            match read_from_peer(state, source, topic, version, &reader).await {
+            let read = read_from_peer(state, source, topic, version, &reader);
+            let Some(read) = unless_late(state, topic, version, read).await else {
+                direct_until = state.clock.now() + DIRECT_READ_PERIOD;
+                continue;
+            };
+            match read {
                 Ok((version, rows)) => {
                     after = Some(version);
-                    state.feed(topic).record_answer(state.clock.now());
+                    state.feed(topic).record_answer(version, rows.latest, state.clock.now());
+                    let rows = rows.rows;
                     apply(state, Update { rows, is_full: false, reader: Some(&reader.name) });
                 }
                 Err(reason) => {
@@ -106,7 +112,13 @@
             }
             continue;
         }
-        match read_from_store(state, source, topic, after).await {
+        let read = read_from_store(state, source, topic, after);
+        let read = match after {
+            Some(version) => unless_late(state, topic, version, read).await,
+            None => Some(read.await),
+        };
+        let Some(read) = read else { continue };
+        match read {
             Ok((version, rows)) => {
                 backoff = MIN_BACKOFF;
                 if let Some(since) = unavailable_since.take() {
@@ -120,8 +132,8 @@
                 }
                 let is_full = after.is_none();
                 after = Some(version);
-                state.feed(topic).record_answer(state.clock.now());
-                apply(state, Update { rows, is_full, reader: None });
+                state.feed(topic).record_answer(version, rows.latest, state.clock.now());
+                apply(state, Update { rows: rows.rows, is_full, reader: None });
                 // Lets further changes accumulate: each batch costs every reading host one call.
                 let readers = state.view().roster.expected_readers() + 1;
                 tokio::time::sleep(topic.batch_interval(readers)).await;
@@ -150,6 +162,26 @@
     }
 }
 
+/// Waits for the changes after a version, or returns `None` once other hosts have read a later change
+/// for so long that this host's own call must have failed without a sign.
+async fn unless_late<T>(
+    state: &State,
+    topic: Topic,
+    version: u64,
+    read: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        read = read => Some(read),
+        missing = state.feed(topic).wait_until_late(topic.max_lag(), state.clock) => {
+            info!(state.log, "another host has read a later change; asking the store again";
+                "topic" => topic.as_str(), "version" => version, "later" => missing.version,
+                "host" => %missing.host, "retries" => missing.retries);
+            None
+        }
+    }
+}
+
 /// Reads a topic in full if `after` is `None`, otherwise its changes since that version, and
 /// publishes them to the other hosts of the zone.
 async fn read_from_store<S: Source>(
@@ -157,13 +189,15 @@
     source: &S,
     topic: Topic,
     after: Option<u64>,
-) -> Result<(u64, Vec<Row>), Error> {
+) -> Result<(u64, Rows), Error> {
     let Some(after) = after else {
         let pages = source.list(topic).await?;
         let version = pages.first().map_or(0, |page| page.version);
-        let mut rows = Vec::new();
+        let mut rows = Rows::default();
         for page in pages {
-            rows.extend(source.decode(topic, &page.bytes)?);
+            let page = source.decode(topic, &page.bytes)?;
+            rows.rows.extend(page.rows);
+            rows.latest = rows.latest.max(page.latest);
         }
         state.feed(topic).restart(version, state.clock.now() + topic.confirmation_validity());
         return Ok((version, rows));
@@ -208,9 +242,9 @@
     topic: Topic,
     after: u64,
     reader: &Peer,
-) -> Result<(u64, Vec<Row>), feed::Error> {
+) -> Result<(u64, Rows), feed::Error> {
     let Some(page) = feed::fetch(state, reader, topic, after).await? else {
-        return Ok((after, Vec::new()));
+        return Ok((after, Rows::default()));
     };
     let rows = source.decode(topic, &page.bytes);
     let rows = rows.map_err(|error| feed::Error::Malformed(error.to_string()))?;
--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -2,6 +2,7 @@
 
 pub mod host;
 pub mod journal;
+pub mod lag;
 pub mod locate;
 pub mod membership;
 pub mod rank;
@@ -9,6 +10,7 @@
 
 pub use host::Host;
 pub use journal::Journal;
+pub use lag::Lag;
 pub use locate::{Answer, Directory, Policy};
 pub use membership::{Member, Membership};
 pub use roster::Roster;
--- /dev/null
+++ b/crates/oleanderspan/tests/lag.rs
@@ -0,0 +1,65 @@
+//! The comparison of what a host has read of the store with what other hosts have read.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::time::Duration;
+
+use oleanderspan::{
+    clock::Instant,
+    entry::{Lag, Name},
+};
+
+fn at(millis: u64) -> Instant {
+    Instant::ZERO + Duration::from_millis(millis)
+}
+
+fn host(name: &str) -> Name {
+    Name::try_from(name).unwrap()
+}
+
+#[test]
+fn host_misses_a_change_until_it_has_read_that_far() {
+    let mut lag = Lag::default();
+    assert!(!lag.record_report(&host("h-1"), 20, at(0)), "nothing read yet, so nothing to compare");
+    lag.advance(10);
+    assert!(!lag.record_report(&host("h-1"), 10, at(1)));
+    assert_eq!(lag.missing(), None);
+    assert!(lag.record_report(&host("h-1"), 12, at(2)));
+    assert_eq!(lag.missing().unwrap().since, at(2));
+    lag.advance(11);
+    assert_eq!(lag.missing().unwrap().version, 12);
+    lag.advance(12);
+    assert_eq!(lag.missing(), None);
+}
+
+/// Reports of ever later changes must not hide that the first one is missing for long, and a host
+/// that keeps up must not count as late because some change is always new.
+#[test]
+fn time_counts_from_the_first_missing_change() {
+    let mut lag = Lag::default();
+    lag.advance(10);
+    lag.record_report(&host("h-1"), 11, at(0));
+    assert!(!lag.record_report(&host("h-2"), 15, at(300)));
+    let missing = lag.missing().unwrap();
+    assert_eq!((missing.version, missing.since), (11, at(0)));
+    lag.advance(11);
+    assert_eq!(lag.missing(), None);
+    assert!(lag.record_report(&host("h-2"), 15, at(500)));
+    assert_eq!(lag.missing().unwrap().since, at(500));
+}
+
+#[test]
+fn asking_again_gives_the_store_time_to_answer() {
+    let mut lag = Lag::default();
+    lag.advance(10);
+    lag.record_report(&host("h-1"), 11, at(0));
+    const MAX_LAG: Duration = Duration::from_millis(600);
+    let due_at = |lag: &Lag| lag.missing().unwrap().due_at(MAX_LAG);
+    assert_eq!(due_at(&lag), at(600));
+    lag.retry(at(600));
+    assert_eq!(due_at(&lag), at(600 + 1_200));
+    for _ in 0..100 {
+        lag.retry(at(2_000));
+    }
+    assert_eq!(due_at(&lag), at(2_000 + 8 * 600), "the time between two retries is bounded");
+}
