--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -10,7 +10,7 @@
 use http::{Response, StatusCode};
 use oleanderspan::{
     entry::{
-        self, Lag,
+        self, Lag, Version,
         journal::{Entry, Journal, Next},
         lag::Missing,
         roster::Peer,
@@ -44,8 +44,6 @@
     journal: watch::Sender<Journal<Bytes>>,
     /// When the store, or the host that reads it, last answered this host, in nanoseconds.
     answered_nanos: AtomicU64,
-    /// The version of the latest change that this host has read; 0 if there is none.
-    latest: AtomicU64,
     lag: watch::Sender<Lag>,
 }
 
@@ -54,19 +52,16 @@
         Feed {
             journal: watch::Sender::new(Journal::default()),
             answered_nanos: AtomicU64::new(Instant::ZERO.as_nanos()),
-            latest: AtomicU64::new(0),
             lag: watch::Sender::default(),
         }
     }
 }
 
 impl Feed {
-    /// Records that the store, or the host that reads it, has answered this host: it has read the
-    /// topic up to `version`, and `latest` is the latest change in the answer, or 0.
-    pub fn record_answer(&self, version: u64, latest: u64, now: Instant) {
+    fn record_answer(&self, version: Version, latest: u64, now: Instant) {
         self.answered_nanos.store(now.as_nanos(), Ordering::Relaxed);
-        self.latest.fetch_max(latest, Ordering::Relaxed);
-        self.lag.send_modify(|lag| lag.advance(version));
+        let latest = Version { number: latest, ..version };
+        self.lag.send_modify(|lag| lag.advance(version, latest));
     }
 
     /// Waits until this host has missed a change for so long that its own poll must have failed
@@ -103,7 +98,7 @@
 
     /// Restarts the journal at `version` after this host has read the topic in full. The answer
     /// counts until `valid_until`.
-    pub fn restart(&self, version: u64, valid_until: Instant) {
+    pub fn restart(&self, version: Version, valid_until: Instant) {
         self.journal.send_modify(|journal| journal.reset(version, valid_until));
     }
 
@@ -115,7 +110,7 @@
 
     /// Waits up to `timeout` for the changes after a version, but no longer than the latest answer of
     /// the store counts.
-    async fn next(&self, after: u64, timeout: Duration, clock: Monotonic) -> Next<Bytes> {
+    async fn next(&self, after: Version, timeout: Duration, clock: Monotonic) -> Next<Bytes> {
         let mut journal = self.journal.subscribe();
         let began = clock.now();
         loop {
@@ -143,11 +138,26 @@
     }
 }
 
+/// Records that the store, or the host that reads it, has answered this host: it has read the topic up
+/// to `version`, and `latest` is the number of the latest change in the answer, or 0.
+///
+/// A poll for another topic may stay open although the store has started a new era meanwhile, which
+/// this answer shows.
+pub fn record_answer(state: &Shared, topic: Topic, version: Version, latest: u64) {
+    let now = state.clock.now();
+    state.feed(topic).record_answer(version, latest, now);
+    let era_start = Version { number: 0, ..version };
+    for other in Topic::ALL.into_iter().filter(|other| *other != topic) {
+        let lag = &state.feed(other).lag;
+        lag.send_if_modified(|lag| lag.record_report(&state.settings.host, era_start, now));
+    }
+}
+
 /// The latest changes that this host has read, for other hosts.
 pub fn latest_changes(state: &Shared) -> Vec<Change> {
     let change = |topic: Topic| {
-        let version = state.feed(topic).latest.load(Ordering::Relaxed);
-        (version > 0).then(|| Change { topic: topic.as_str().to_owned(), version })
+        let Version { era, number: version } = state.feed(topic).lag.borrow().latest();
+        (version > 0).then(|| Change { topic: topic.as_str().to_owned(), version, era })
     };
     Topic::ALL.into_iter().filter_map(change).collect()
 }
@@ -158,7 +168,8 @@
     for change in changes {
         let topic = Topic::ALL.into_iter().find(|topic| topic.as_str() == change.topic);
         let Some(topic) = topic else { continue };
-        state.feed(topic).lag.send_if_modified(|lag| lag.record_report(host, change.version, now));
+        let version = Version { era: change.era, number: change.version };
+        state.feed(topic).lag.send_if_modified(|lag| lag.record_report(host, version, now));
     }
 }
 
@@ -166,10 +177,9 @@
 /// 410 if they are no longer available, and 503 if this host does not read the topic.
 pub async fn serve<G>(state: &State, follow: &Follow) -> Response<Body<G>> {
     let topic = Topic::ALL.into_iter().find(|topic| topic.as_str() == follow.topic);
+    let after = Version { era: follow.era, number: follow.after };
     let next = match topic {
-        Some(topic) => {
-            state.feed(topic).next(follow.after, topic.feed_timeout(), state.clock).await
-        }
+        Some(topic) => state.feed(topic).next(after, topic.feed_timeout(), state.clock).await,
         None => Next::Inactive,
     };
     let (status, body) = match &next {
@@ -181,7 +191,7 @@
     let mut response = Response::new(Body::from(body));
     *response.status_mut() = status;
     if let Next::Entry(entry) = next {
-        let version = names::value(&entry.version.to_string());
+        let version = names::value(&entry.version.number.to_string());
         response.headers_mut().insert(names::VERSION, version);
     }
     response
@@ -193,9 +203,10 @@
     state: &State,
     reader: &Peer,
     topic: Topic,
-    after: u64,
+    after: Version,
 ) -> Result<Option<Page>, Error> {
-    let follow = Follow { topic: topic.as_str().to_owned(), after };
+    let Version { era, number } = after;
+    let follow = Follow { topic: topic.as_str().to_owned(), after: number, era };
     let request = message::request(reader.address, FOLLOW_PATH, &follow);
     let request = request.map_err(|error| Error::Unavailable(error.to_string()))?;
     let received =
@@ -206,7 +217,8 @@
             let version = names::number(&head.headers, &names::VERSION);
             let version = version
                 .ok_or_else(|| Error::Malformed("response has no version header".to_owned()))?;
-            Ok(Some(Page { version, bytes }))
+            // Changes are handed on within one era only.
+            Ok(Some(Page { version: Version { era, number: version }, bytes }))
         }
         StatusCode::NO_CONTENT => Ok(None),
         StatusCode::GONE => Err(Error::Truncated),
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -84,6 +84,9 @@
     pub topic: String,
     /// Version of the last change that the requesting host has.
     pub after: u64,
+    /// Era of that version.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// Identifies the pinging host; the response identifies the pinged one in the same form.
@@ -108,6 +111,9 @@
     pub topic: String,
     /// The store's version of the change.
     pub version: u64,
+    /// Era of that version.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// Liveness of a host, as observed by another one.
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -163,7 +163,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
     /// The version of the store that the page reflects.
-    pub version: u64,
+    pub version: entry::Version,
     /// The encoded rows; see [`Source::decode`].
     pub bytes: Bytes,
 }
@@ -173,7 +173,7 @@
 pub struct Rows {
     /// The rows, in the order of the page.
     pub rows: Vec<Row>,
-    /// The version of the latest change among all rows of the page; 0 if it has none.
+    /// The number of the latest change among all rows of the page; 0 if it has none.
     pub latest: u64,
 }
 
@@ -183,8 +183,8 @@
     /// the changes from the version of the first page.
     fn list(&self, topic: Topic) -> impl Future<Output = Result<Vec<Page>, Error>> + Send;
 
-    /// Waits up to `wait` for rows that changed after version `after`. The page is empty if
-    /// there are none.
+    /// Waits up to `wait` for rows whose latest change has a number above `after`. The page is empty
+    /// if there are none. If its era is not the one of that number, changes may be missing.
     fn follow(
         &self,
         topic: Topic,
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -4,8 +4,9 @@
     availability,
     backend::{self, listing},
     entry::{
-        self,
+        self, Version,
         journal::Entry,
+        lag::Missing,
         membership::jitter,
         roster::{Candidate, Peer},
     },
@@ -92,14 +93,18 @@
         {
             state.feed(topic).stop();
             let read = read_from_peer(state, source, topic, version, &reader);
-            let Some(read) = unless_late(state, topic, version, read).await else {
-                direct_until = state.clock.now() + DIRECT_READ_PERIOD;
-                continue;
+            let read = match unless_late(state, topic, version, read).await {
+                Ok(read) => read,
+                Err(missing) => {
+                    direct_until = state.clock.now() + DIRECT_READ_PERIOD;
+                    after = resume_after(version, &missing);
+                    continue;
+                }
             };
             match read {
                 Ok((version, rows)) => {
                     after = Some(version);
-                    state.feed(topic).record_answer(version, rows.latest, state.clock.now());
+                    feed::record_answer(state, topic, version, rows.latest);
                     let rows = rows.rows;
                     apply(state, Update { rows, is_full: false, reader: Some(&reader.name) });
                 }
@@ -114,10 +119,15 @@
         }
         let read = read_from_store(state, source, topic, after);
         let read = match after {
-            Some(version) => unless_late(state, topic, version, read).await,
-            None => Some(read.await),
+            Some(version) => match unless_late(state, topic, version, read).await {
+                Ok(read) => read,
+                Err(missing) => {
+                    after = resume_after(version, &missing);
+                    continue;
+                }
+            },
+            None => read.await,
         };
-        let Some(read) = read else { continue };
         match read {
             Ok((version, rows)) => {
                 backoff = MIN_BACKOFF;
@@ -132,7 +142,7 @@
                 }
                 let is_full = after.is_none();
                 after = Some(version);
-                state.feed(topic).record_answer(version, rows.latest, state.clock.now());
+                feed::record_answer(state, topic, version, rows.latest);
                 apply(state, Update { rows: rows.rows, is_full, reader: None });
                 // Lets further changes accumulate: each batch costs every reading host one call.
                 let readers = state.view().roster.expected_readers() + 1;
@@ -141,7 +151,7 @@
             Err(Error::HistoryTruncated) => {
                 info!(state.log, "store cannot resume the topic; reading it in full";
                     "topic" => topic.as_str(),
-                    "version" => after,
+                    "version" => after.map(|version| version.number),
                     "reason" => "the store no longer has the changes since that version");
                 after = None;
             }
@@ -162,22 +172,29 @@
     }
 }
 
-/// Waits for the changes after a version, or returns `None` once other hosts have read a later change
-/// for so long that this host's own call must have failed without a sign.
+/// Where to go on after a call that was given up, or `None` to read the topic in full: changes cannot be
+/// followed into a later era.
+fn resume_after(version: Version, missing: &Missing) -> Option<Version> {
+    Some(version).filter(|version| version.era == missing.version.era)
+}
+
+/// Waits for the changes after a version, or returns the change that other hosts have read for so long
+/// that this host's own call must have failed without a sign.
 async fn unless_late<T>(
     state: &State,
     topic: Topic,
-    version: u64,
+    version: Version,
     read: impl Future<Output = T>,
-) -> Option<T> {
+) -> Result<T, Missing> {
     tokio::select! {
         biased;
-        read = read => Some(read),
+        read = read => Ok(read),
         missing = state.feed(topic).wait_until_late(topic.max_lag(), state.clock) => {
             info!(state.log, "another host has read a later change; asking the store again";
-                "topic" => topic.as_str(), "version" => version, "later" => missing.version,
+                "topic" => topic.as_str(), "version" => version.number, "era" => version.era,
+                "later" => missing.version.number, "later_era" => missing.version.era,
                 "host" => %missing.host, "retries" => missing.retries);
-            None
+            Err(missing)
         }
     }
 }
@@ -188,11 +205,14 @@
     state: &State,
     source: &S,
     topic: Topic,
-    after: Option<u64>,
-) -> Result<(u64, Rows), Error> {
+    after: Option<Version>,
+) -> Result<(Version, Rows), Error> {
     let Some(after) = after else {
         let pages = source.list(topic).await?;
-        let version = pages.first().map_or(0, |page| page.version);
+        let version = pages.first().map_or(Version::default(), |page| page.version);
+        if pages.iter().any(|page| page.version.era != version.era) {
+            return Err(Error::HistoryTruncated);
+        }
         let mut rows = Rows::default();
         for page in pages {
             let page = source.decode(topic, &page.bytes)?;
@@ -206,7 +226,12 @@
         true => topic.confirmation_interval(),
         false => LONG_POLL_TIMEOUT,
     };
-    let page = source.follow(topic, after, wait).await?;
+    let page = source.follow(topic, after.number, wait).await?;
+    // The store has come back from an older copy. Its numbers may have passed the one asked for, so
+    // that the page lacks the changes below it.
+    if page.version.era != after.era {
+        return Err(Error::HistoryTruncated);
+    }
     let rows = source.decode(topic, &page.bytes)?;
     let version = page.version;
     let entry = Entry { after, version, page: page.bytes };
@@ -240,9 +265,9 @@
     state: &State,
     source: &S,
     topic: Topic,
-    after: u64,
+    after: Version,
     reader: &Peer,
-) -> Result<(u64, Rows), feed::Error> {
+) -> Result<(Version, Rows), feed::Error> {
     let Some(page) = feed::fetch(state, reader, topic, after).await? else {
         return Ok((after, Rows::default()));
     };
--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -7,6 +7,7 @@
 pub mod membership;
 pub mod rank;
 pub mod roster;
+pub mod version;
 
 pub use host::Host;
 pub use journal::Journal;
@@ -14,6 +15,7 @@
 pub use locate::{Answer, Directory, Policy};
 pub use membership::{Member, Membership};
 pub use roster::Roster;
+pub use version::Version;
 
 checked_name! {
     /// The name of an entry host.
--- a/crates/oleanderspan/src/entry/journal.rs
+++ b/crates/oleanderspan/src/entry/journal.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use crate::prelude::*;
+use crate::{entry::Version, prelude::*};
 
 /// Number of entries kept, so that a host that was busy or disconnected for some seconds can
 /// catch up.
@@ -16,9 +16,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry<P> {
     /// Version before the changes.
-    pub after: u64,
+    pub after: Version,
     /// Version after the changes.
-    pub version: u64,
+    pub version: Version,
     /// The changes, as the store returned them.
     pub page: P,
 }
@@ -42,7 +42,7 @@
 pub struct Journal<P> {
     is_active: bool,
     entries: VecDeque<Entry<P>>,
-    version: u64,
+    version: Version,
     /// Until when the latest answer of the store shows that there are no later changes.
     valid_until: Instant,
 }
@@ -50,7 +50,7 @@
 impl<P> Default for Journal<P> {
     fn default() -> Journal<P> {
         let (entries, valid_until) = (VecDeque::new(), Instant::ZERO);
-        Journal { is_active: false, entries, version: 0, valid_until }
+        Journal { is_active: false, entries, version: Version::default(), valid_until }
     }
 }
 
@@ -73,7 +73,7 @@
     }
 
     /// Empties and activates the journal after a full read of the store at `version`.
-    pub fn reset(&mut self, version: u64, valid_until: Instant) {
+    pub fn reset(&mut self, version: Version, valid_until: Instant) {
         *self = Journal { is_active: true, entries: VecDeque::new(), version, valid_until };
     }
 
@@ -91,10 +91,14 @@
     }
 
     /// Looks up the changes that follow version `after`.
-    pub fn next(&self, after: u64, now: Instant) -> Next<P> {
-        if !self.is_active {
+    pub fn next(&self, after: Version, now: Instant) -> Next<P> {
+        // A host that has read a later era must not be told of changes in an earlier one.
+        if !self.is_active || after.era > self.version.era {
             return Next::Inactive;
         }
+        if after.era < self.version.era {
+            return Next::Truncated;
+        }
         if after >= self.version {
             return if now < self.valid_until { Next::UpToDate } else { Next::Inactive };
         }
--- a/crates/oleanderspan/src/entry/lag.rs
+++ b/crates/oleanderspan/src/entry/lag.rs
@@ -3,13 +3,18 @@
 //! A long poll that is not answered looks like a store without changes. Hosts therefore tell each
 //! other which change they have read last; see `docs/PLATFORM.md`.
 
-use crate::{entry, prelude::*};
+use crate::{
+    entry::{self, Version},
+    prelude::*,
+};
 
 /// What this host has read of a topic, compared with the reports of other hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Lag {
     /// The version up to which this host has read; `None` until it has read the topic in full.
-    position: Option<u64>,
+    position: Option<Version>,
+    /// The latest change of the topic that this host has read; zero if there is none.
+    latest: Version,
     missing: Option<Missing>,
 }
 
@@ -17,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Missing {
     /// The version of the change.
-    pub version: u64,
+    pub version: Version,
     /// The host that reported it.
     pub host: entry::Name,
     /// When it was first reported, or when this host last asked the store again because of it.
@@ -37,9 +42,11 @@
 }
 
 impl Lag {
-    /// Records that this host has read the topic up to a version.
-    pub fn advance(&mut self, position: u64) {
+    /// Records that this host has read the topic up to `position`; `latest` is the latest change that
+    /// it has read, or zero if there was none.
+    pub fn advance(&mut self, position: Version, latest: Version) {
         self.position = Some(position);
+        self.latest = self.latest.max(latest);
         if self.missing.as_ref().is_some_and(|missing| missing.version <= position) {
             self.missing = None;
         }
@@ -50,7 +57,7 @@
     ///
     /// Later ones do not replace it: while changes follow one another closely, a host that keeps up
     /// always misses some, but none of them for long.
-    pub fn record_report(&mut self, host: &entry::Name, version: u64, now: Instant) -> bool {
+    pub fn record_report(&mut self, host: &entry::Name, version: Version, now: Instant) -> bool {
         let is_missing = self.position.is_some_and(|position| version > position);
         if !is_missing || self.missing.is_some() {
             return false;
@@ -67,6 +74,11 @@
         }
     }
 
+    /// The latest change that this host has read, for other hosts; zero if there is none.
+    pub fn latest(&self) -> Version {
+        self.latest
+    }
+
     /// The change that this host has missed for longest; `None` if it keeps up.
     pub fn missing(&self) -> Option<&Missing> {
         self.missing.as_ref()
