Don't bring back removed servers that an older copy of the store lists

The listing now remembers the last entry of a removed server, for 60 s as before, and ignores entries up to that one; a later heartbeat of the same start shows that it lives, and it goes on leaving if it did before.

--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -67,13 +67,22 @@
     expires: Option<Instant>,
 }
 
+/// The last entry of a removed server.
+#[derive(Debug)]
+struct Removed {
+    born_millis: u64,
+    sequence: u64,
+    is_leaving: bool,
+    at: Instant,
+}
+
 /// The listed servers by name.
 #[derive(Debug, Default)]
 pub struct Listing {
     servers: Map<backend::Name, ListedServer>,
-    /// The start of each removed server and when it was removed, so that grants of hosts that have
-    /// not seen the removal are not used.
-    removed: Map<backend::Name, (u64, Instant)>,
+    /// The removed servers, so that neither grants of hosts that have not seen the removal nor entries
+    /// from an older copy of the store are used.
+    removed: Map<backend::Name, Removed>,
     /// When the store last recovered from an outage.
     recovered_at: Option<Instant>,
 }
@@ -102,6 +111,14 @@
                 return listed_server.update(entry, now);
             }
         }
+        if let Some(removed) = self.removed.get(name) {
+            // Only a later heartbeat shows that the server lives: the store may have come back from a
+            // copy that is older than the removal.
+            if (entry.born_millis, entry.sequence) <= (removed.born_millis, removed.sequence) {
+                return Change::None;
+            }
+            entry.is_leaving |= removed.is_leaving && entry.born_millis == removed.born_millis;
+        }
         let identity = Identity { name: name.clone(), incarnation: entry.born_millis };
         let server = Server::new(identity, entry.address, entry.location, entry.slots);
         let mut warm_at = now + entry.cold_left;
@@ -142,16 +159,21 @@
                 listed_server.expires = Some(grace);
                 Change::None
             }
-            (_, Some(listed_server)) => {
-                listed_server.server.mark_leaving();
-                let incarnation = listed_server.entry.born_millis;
-                self.servers.remove(name);
-                self.record_removal(name, incarnation, now);
+            (_, Some(_)) => {
+                self.drop_server(name, now);
                 Change::Gone
             }
         }
     }
 
+    fn drop_server(&mut self, name: &backend::Name, now: Instant) {
+        let Some(ListedServer { entry, server, .. }) = self.servers.remove(name) else { return };
+        server.mark_leaving();
+        self.removed.retain(|_, removed| now.since(removed.at) < REMOVED_RETENTION);
+        let Entry { born_millis, sequence, is_leaving, .. } = entry;
+        self.removed.insert(name.clone(), Removed { born_millis, sequence, is_leaving, at: now });
+    }
+
     /// The names of listed servers that are absent from a complete listing of the store.
     pub fn missing_from(&self, listed: &Set<backend::Name>) -> Vec<backend::Name> {
         self.servers.keys().filter(|name| !listed.contains(*name)).cloned().collect()
@@ -168,24 +190,15 @@
             .filter(|(_, listed_server)| is_expired(listed_server))
             .map(|(name, _)| name.clone())
             .collect();
-        for name in &expired {
-            if let Some(listed_server) = self.servers.remove(name) {
-                listed_server.server.mark_leaving();
-                self.record_removal(name, listed_server.entry.born_millis, now);
-            }
-        }
+        expired.iter().for_each(|name| self.drop_server(name, now));
         expired
     }
 
     /// Whether this start of a server or a later one was listed and has been removed, as far as the
     /// removal is still remembered.
     pub fn was_removed(&self, identity: &Identity) -> bool {
-        self.removed.get(&identity.name).is_some_and(|(start, _)| identity.incarnation <= *start)
-    }
-
-    fn record_removal(&mut self, name: &backend::Name, incarnation: u64, now: Instant) {
-        self.removed.retain(|_, (_, at)| now.since(*at) < REMOVED_RETENTION);
-        self.removed.insert(name.clone(), (incarnation, now));
+        let removed = self.removed.get(&identity.name);
+        removed.is_some_and(|removed| identity.incarnation <= removed.born_millis)
     }
 
     /// When [`Listing::expire`] next has an entry to remove, or `None`.
--- a/crates/oleanderspan/tests/listing.rs
+++ b/crates/oleanderspan/tests/listing.rs
@@ -227,3 +227,21 @@
     assert!(listing.was_removed(&start(1)) && listing.was_removed(&start(2)));
     assert!(!listing.was_removed(&start(3)));
 }
+
+/// A restored store lists servers that were removed before, and a server that had begun to leave as one
+/// that is ready.
+#[test]
+fn entry_from_before_the_removal_does_not_bring_a_server_back() {
+    let mut listing = Listing::default();
+    listing.put(&name(), Entry { is_leaving: true, ..entry(1, 5) }, at(0));
+    assert_eq!(listing.remove(&name(), at(1)), Change::Gone);
+    for sequence in [3, 5] {
+        assert_eq!(listing.put(&name(), entry(1, sequence), at(2)), Change::None);
+        assert!(listing.get(&name()).is_none());
+    }
+    assert_eq!(listing.put(&name(), entry(1, 6), at(3)), Change::Joined, "it lives");
+    assert!(listed(&listing).is_leaving(), "and still leaves");
+    assert_eq!(listing.remove(&name(), at(4)), Change::Gone);
+    assert_eq!(listing.put(&name(), entry(2, 0), at(5)), Change::Joined, "another start");
+    assert!(!listed(&listing).is_leaving());
+}
