Keep servers that a restored store has lost until they register again

Requests were refused for want of servers when the store came back from a copy older than their registration and the host had seen no outage: servers that are missing from a whole read are given two seconds only after an outage that the host has noticed. A new era of the store now gives them the same.

--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -83,6 +83,7 @@
     apply: impl Fn(&State, Update<'_>),
 ) {
     let mut after = None;
+    let mut era = None;
     let mut backoff = MIN_BACKOFF;
     let mut unavailable_since = None;
     let mut direct_until = Instant::ZERO;
@@ -135,10 +136,16 @@
                     let outage: Duration = state.clock.now().since(since);
                     info!(state.log, "store answers again"; "topic" => topic.as_str(),
                         "away_ms" => outage.as_millis());
-                    state.update(|view, now| {
-                        view.listing.store_recovered(now);
-                        false
-                    });
+                    accept_missing_servers(state);
+                }
+                let is_restored =
+                    era.replace(version.era).is_some_and(|before| before != version.era);
+                if is_restored {
+                    info!(state.log, "store came back from an older copy"; "topic" => topic.as_str(),
+                        "era" => version.era, "version" => version.number);
+                    if topic == Topic::Servers {
+                        accept_missing_servers(state);
+                    }
                 }
                 let is_full = after.is_none();
                 after = Some(version);
@@ -172,6 +179,14 @@
     }
 }
 
+/// Lets servers that the store does not list stay in use until they have had the time to register again.
+fn accept_missing_servers(state: &State) {
+    state.update(|view, now| {
+        view.listing.store_recovered(now);
+        false
+    });
+}
+
 /// Where to go on after a call that was given up, or `None` to read the topic in full: changes cannot be
 /// followed into a later era.
 fn resume_after(version: Version, missing: &Missing) -> Option<Version> {
