Keep evacuations that a restored store has lost until they are written again

A zone that is to get nothing got requests when the store came back from a copy older than its evacuation: a whole read that lacks an evacuation ends it.

--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -217,7 +217,7 @@
         None => {
             let view = state.view();
             view.listing.was_removed(granted)
-                || view.evacuated.contains(&granted_server.location.zone)
+                || view.evacuations.contains(granted_server.location.zone)
         }
     };
     if is_unusable {
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
 use oleanderspan::{
-    availability,
+    availability::{self, Evacuations},
     backend::{self, Listing, Pool, Server, listing::ListedServer, pool::OverloadPolicy},
     entry::{
         Roster, rank,
@@ -94,7 +94,7 @@
     /// Whether the list of servers has been read in full at least once.
     pub has_server_list: bool,
     /// The evacuated zones, which must not receive requests.
-    pub evacuated: Set<availability::Index>,
+    pub evacuations: Evacuations,
     /// The other entry hosts: those of the region with their liveness, and those of other regions.
     pub roster: Roster,
     /// Slots lent to and borrowed from other regions, per service that this host dispatches.
@@ -248,7 +248,7 @@
         let apply = |(name, listed_server): (&backend::Name, &ListedServer)| {
             let server = &listed_server.server;
             let zone = listed_server.entry.location.zone;
-            server.set_evacuated(self.evacuated.contains(&zone));
+            server.set_evacuated(self.evacuations.contains(zone));
             let table = self.table.as_ref();
             if let Some(service) =
                 table.and_then(|table| table.service(&listed_server.entry.service))
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -38,7 +38,7 @@
 /// How long this host reads from the store itself after the host that reads for it has failed.
 const DIRECT_READ_PERIOD: Duration = Duration::from_millis(3_000);
 
-/// How often removed servers are checked for the end of their grace period.
+/// How often removed servers and lost evacuations are checked for the end of their grace period.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Follows the operator's routes and evacuations.
@@ -46,7 +46,7 @@
     follow(&state, &source, Topic::Operator, apply_operator).await;
 }
 
-/// Follows the backend servers, and drops removed ones after their grace period.
+/// Follows the backend servers, and drops removed ones, and lost evacuations, after their grace period.
 pub async fn servers<S: Source>(state: State, source: S) {
     let expiry = state.clone();
     let expire = async {
@@ -71,6 +71,8 @@
     rows: Vec<Row>,
     /// Whether the rows are the whole topic rather than changes.
     is_full: bool,
+    /// Whether the store has come back from an older copy, so that rows may be missing.
+    is_restored: bool,
     /// The host that read the rows from the store, for logs; `None` for this host.
     reader: Option<&'a entry::Name>,
 }
@@ -107,7 +109,9 @@
                     after = Some(version);
                     feed::record_answer(state, topic, version, rows.latest);
                     let rows = rows.rows;
-                    apply(state, Update { rows, is_full: false, reader: Some(&reader.name) });
+                    let (is_full, is_restored) = (false, false);
+                    let reader = Some(&reader.name);
+                    apply(state, Update { rows, is_full, is_restored, reader });
                 }
                 Err(reason) => {
                     info!(state.log, "cannot read changes from peer; reading from the store";
@@ -150,7 +154,8 @@
                 let is_full = after.is_none();
                 after = Some(version);
                 feed::record_answer(state, topic, version, rows.latest);
-                apply(state, Update { rows: rows.rows, is_full, reader: None });
+                let (rows, reader) = (rows.rows, None);
+                apply(state, Update { rows, is_full, is_restored, reader });
                 // Lets further changes accumulate: each batch costs every reading host one call.
                 let readers = state.view().roster.expected_readers() + 1;
                 tokio::time::sleep(topic.batch_interval(readers)).await;
@@ -292,7 +297,7 @@
 }
 
 fn apply_operator(state: &State, update: Update<'_>) {
-    let Update { rows, is_full, reader } = update;
+    let Update { rows, is_full, is_restored, reader } = update;
     let mut active = Set::default();
     for row in rows {
         match row {
@@ -319,9 +324,14 @@
         }
     }
     if is_full {
-        let previous: Vec<_> = state.view().evacuated.iter().copied().collect();
-        let lifted = previous.iter().filter(|zone| !active.contains(*zone));
-        lifted.for_each(|zone| set_evacuation(state, *zone, false));
+        if is_restored {
+            state.update(|view, now| {
+                view.evacuations.keep_missing_from(&active, now);
+                false
+            });
+        }
+        let lifted = state.view().evacuations.missing_from(&active);
+        lifted.into_iter().for_each(|zone| set_evacuation(state, zone, false));
         active.iter().for_each(|zone| set_evacuation(state, *zone, true));
     }
 }
@@ -346,8 +356,8 @@
 fn set_evacuation(state: &State, zone: availability::Index, is_active: bool) {
     state.update(|view, now| {
         let has_changed = match is_active {
-            true => view.evacuated.insert(zone),
-            false => view.evacuated.remove(&zone),
+            true => view.evacuations.begin(zone),
+            false => view.evacuations.end(zone),
         };
         if !has_changed {
             return false;
@@ -427,6 +437,8 @@
 }
 
 fn expire(state: &State) {
+    let lifted = state.view().evacuations.expired(state.clock.now());
+    lifted.into_iter().for_each(|zone| set_evacuation(state, zone, false));
     let is_due = state.view().listing.next_expiry().is_some();
     if !is_due {
         return;
--- a/crates/oleanderspan/src/availability.rs
+++ b/crates/oleanderspan/src/availability.rs
@@ -1,7 +1,9 @@
 //! Availability zones, the smallest failure domains of a region.
 
+pub mod evacuation;
 pub mod topology;
 
+pub use evacuation::Evacuations;
 pub use topology::Topology;
 
 use crate::{prelude::*, region};
