Register a host again when the store has lost its registration

Callers were no longer told a host that had registered after the copy from which the store came back, and it gave out no slots any more: a host registered once, at its start. It now registers again when the store has accepted its registration and then lists the hosts without it, unless it is stopping.

--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -1,5 +1,7 @@
 //! Follows the platform's store. While it is unavailable, the last known state stays in use.
 
+use std::sync::atomic::Ordering;
+
 use oleanderspan::{
     availability,
     backend::{self, listing},
@@ -470,6 +472,7 @@
     })
 }
 
+/// Registers this host, and again each time the store has lost the registration.
 async fn announce<S: Source>(state: &State, source: &S) {
     let listen = &state.settings.listen;
     let zone = state.settings.topology.zone_name(state.settings.zone);
@@ -487,11 +490,19 @@
             return;
         }
     };
-    let mut backoff = MIN_BACKOFF;
-    while let Err(error) = source.announce(&state.settings.host, &value).await {
-        info!(state.log, "cannot register this host; retrying"; "reason" => %error);
-        tokio::time::sleep(jitter(backoff, &mut ThreadRandom)).await;
-        backoff = (backoff * 2).min(MAX_BACKOFF);
+    loop {
+        let mut backoff = MIN_BACKOFF;
+        while let Err(error) = source.announce(&state.settings.host, &value).await {
+            info!(state.log, "cannot register this host; retrying"; "reason" => %error);
+            tokio::time::sleep(jitter(backoff, &mut ThreadRandom)).await;
+            backoff = (backoff * 2).min(MAX_BACKOFF);
+        }
+        state.is_registered.store(true, Ordering::Relaxed);
+        state.registration_lost.notified().await;
+        if state.stop.has_begun() {
+            return;
+        }
+        info!(state.log, "the store has lost the registration of this host; registering again");
     }
 }
 
@@ -499,9 +510,12 @@
     let Update { rows, is_full, .. } = update;
     state.update(|view, _| {
         let mut listed: Set<entry::Name> = Set::default();
+        let mut is_listed = !is_full;
         for row in rows {
             match row {
-                Row::Host(name, _) if name == state.settings.host => {}
+                Row::Host(name, value) if name == state.settings.host => {
+                    is_listed = value.is_some();
+                }
                 Row::Host(name, None) => {
                     view.roster.remove(&name);
                 }
@@ -535,6 +549,9 @@
                 Row::Routes(_) | Row::Evacuation { .. } | Row::Server(..) => {}
             }
         }
+        if !is_listed && state.is_registered.swap(false, Ordering::Relaxed) {
+            state.registration_lost.notify_one();
+        }
         if is_full {
             let names = view.roster.names();
             let gone: Vec<entry::Name> =
