Take a host for lost only from a list later than its registration

At the start of a host the list of hosts may be read just before its registration is written; it was then written twice, which costs a call of the store for each host. The store's answer to the registration has its version, and only a list of a later one counts.

--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -201,12 +201,13 @@
     /// Saves a value under `key`, replacing any earlier one.
     fn save(&self, key: &str, value: &[u8]) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Registers this host; `value` is passed to the other hosts unmodified.
+    /// Registers this host, and returns the store's version since then; `value` is passed to the
+    /// other hosts unmodified.
     fn announce(
         &self,
         host: &entry::Name,
         value: &[u8],
-    ) -> impl Future<Output = Result<(), Error>> + Send;
+    ) -> impl Future<Output = Result<entry::Version, Error>> + Send;
 
     /// Removes the registration of this host.
     fn withdraw(&self, host: &entry::Name) -> impl Future<Output = Result<(), Error>> + Send;
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -1,9 +1,6 @@
 //! The state that the tasks of a gateway share, and the snapshot of it that requests read.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, AtomicU64},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64};
 
 use arc_swap::ArcSwap;
 use crossbeam_queue::SegQueue;
@@ -11,7 +8,7 @@
     availability::{self, Evacuations},
     backend::{self, Listing, Pool, Server, listing::ListedServer, pool::OverloadPolicy},
     entry::{
-        Roster, rank,
+        self, Roster, rank,
         roster::{self, Peer},
     },
     prelude::*,
@@ -21,7 +18,7 @@
     service,
 };
 use slog::{Logger, debug};
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::{
     clock::Monotonic,
@@ -77,10 +74,8 @@
     pub counters: Counters,
     /// Progress of a planned stop.
     pub stop: Stop,
-    /// Whether the store has accepted the registration of this host and not been seen without it.
-    pub is_registered: AtomicBool,
-    /// Notified when the store has lost the registration of this host.
-    pub registration_lost: Notify,
+    /// The latest version of the store that was seen without this host among the hosts.
+    pub unlisted_at: watch::Sender<Option<entry::Version>>,
     /// Number of slots granted outside the home regions of their request's route.
     pub outside_homes: AtomicU64,
     /// Number of lookups of hosts by clients of other regions.
@@ -155,8 +150,7 @@
             log,
             counters: Counters::new(),
             stop: Stop::default(),
-            is_registered: AtomicBool::new(false),
-            registration_lost: Notify::new(),
+            unlisted_at: watch::Sender::default(),
             outside_homes: AtomicU64::new(0),
             foreign_lookups: AtomicU64::new(0),
             reports: SegQueue::new(),
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -1,7 +1,5 @@
 //! Follows the platform's store. While it is unavailable, the last known state stays in use.
 
-use std::sync::atomic::Ordering;
-
 use oleanderspan::{
     availability,
     backend::{self, listing},
@@ -71,6 +69,8 @@
 /// Rows of a topic and where this host has them from.
 struct Update<'a> {
     rows: Vec<Row>,
+    /// The store's version that the rows reflect.
+    version: Version,
     /// Whether the rows are the whole topic rather than changes.
     is_full: bool,
     /// Whether the store has come back from an older copy, so that rows may be missing.
@@ -113,7 +113,7 @@
                     let rows = rows.rows;
                     let (is_full, is_restored) = (false, false);
                     let reader = Some(&reader.name);
-                    apply(state, Update { rows, is_full, is_restored, reader });
+                    apply(state, Update { rows, version, is_full, is_restored, reader });
                 }
                 Err(reason) => {
                     info!(state.log, "cannot read changes from peer; reading from the store";
@@ -157,7 +157,7 @@
                 after = Some(version);
                 feed::record_answer(state, topic, version, rows.latest);
                 let (rows, reader) = (rows.rows, None);
-                apply(state, Update { rows, is_full, is_restored, reader });
+                apply(state, Update { rows, version, is_full, is_restored, reader });
                 // Lets further changes accumulate: each batch costs every reading host one call.
                 let readers = state.view().roster.expected_readers() + 1;
                 tokio::time::sleep(topic.batch_interval(readers)).await;
@@ -299,7 +299,7 @@
 }
 
 fn apply_operator(state: &State, update: Update<'_>) {
-    let Update { rows, is_full, is_restored, reader } = update;
+    let Update { rows, is_full, is_restored, reader, .. } = update;
     let mut active = Set::default();
     for row in rows {
         match row {
@@ -492,13 +492,19 @@
     };
     loop {
         let mut backoff = MIN_BACKOFF;
-        while let Err(error) = source.announce(&state.settings.host, &value).await {
-            info!(state.log, "cannot register this host; retrying"; "reason" => %error);
-            tokio::time::sleep(jitter(backoff, &mut ThreadRandom)).await;
-            backoff = (backoff * 2).min(MAX_BACKOFF);
-        }
-        state.is_registered.store(true, Ordering::Relaxed);
-        state.registration_lost.notified().await;
+        let registered_at = loop {
+            match source.announce(&state.settings.host, &value).await {
+                Ok(version) => break version,
+                Err(error) => {
+                    info!(state.log, "cannot register this host; retrying"; "reason" => %error);
+                    tokio::time::sleep(jitter(backoff, &mut ThreadRandom)).await;
+                    backoff = (backoff * 2).min(MAX_BACKOFF);
+                }
+            }
+        };
+        let is_lost = |unlisted_at: &Option<Version>| *unlisted_at > Some(registered_at);
+        // Fails only if the sender is gone, which `state` owns.
+        let _ = state.unlisted_at.subscribe().wait_for(is_lost).await;
         if state.stop.has_begun() {
             return;
         }
@@ -507,7 +513,7 @@
 }
 
 fn apply_hosts(state: &State, update: Update<'_>) {
-    let Update { rows, is_full, .. } = update;
+    let Update { rows, version, is_full, .. } = update;
     state.update(|view, _| {
         let mut listed: Set<entry::Name> = Set::default();
         let mut is_listed = !is_full;
@@ -549,8 +555,8 @@
                 Row::Routes(_) | Row::Evacuation { .. } | Row::Server(..) => {}
             }
         }
-        if !is_listed && state.is_registered.swap(false, Ordering::Relaxed) {
-            state.registration_lost.notify_one();
+        if !is_listed {
+            state.unlisted_at.send_replace(Some(version));
         }
         if is_full {
             let names = view.roster.names();
