Check the home regions of a request by the routes in force when it is sent

A request that waited for a slot while the homes of its route changed ran in the former region: it kept the route that it came with. Each attempt now takes the homes from the routes in force, checks them again when the slot has come, and asks for one in the new region if they changed meanwhile. A route that was removed keeps its last homes.

waiting_request_does_not_run_outside_the_new_home_regions_of_its_route failed before (the second request ran on the former home's server) and passes. homes 4, gateway 36, loans 5 passed.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 use crate::{
     entry::outbound::OutboundRequest,
     gateway::{
+        front,
         grant::{self, Grant, Requirements},
         slots::AcquireError,
         state::Shared,
@@ -54,7 +55,9 @@
     /// The client's request ID, which the server repeats in its response.
     pub id: &'a str,
     /// The route that matched the request.
-    pub route: &'a Route,
+    pub route: &'a Arc<Route>,
+    /// Version of the routes that it is from.
+    pub routes_version: u64,
     /// The service that the route's traffic split selected.
     pub service: &'a service::Name,
     /// The object that the request accesses; `None` on routes without sticky sessions.
@@ -170,34 +173,26 @@
     outbound: &mut OutboundRequest,
     excluded: Option<backend::Name>,
 ) -> Result<Answer, Failure> {
-    let now = state.clock.now();
-    let region = state.snapshot().serving_region(&state.settings, call.route, call.service);
-    let region = region.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
-    let time = TimeLeft {
-        objective: call.objective.remaining(now).unwrap_or_default(),
-        deadline: call.deadline.remaining(now).unwrap_or_default(),
-    };
-    let requirements = Requirements {
-        id: call.id,
-        service: call.service,
-        region,
-        priority: call.route.priority,
-        time,
-        criteria: Criteria {
-            object: call.object,
-            excluded,
-            region: call.route.is_bound().then_some(region),
-        },
+    let mut routing = Routing::latest(state, call, outbound.head());
+    let (requirements, grant, server) = loop {
+        let requirements = requirements(state, call, &routing.route, excluded.clone())
+            .ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+        let grant = grant::acquire(state, &requirements).await.map_err(
+            |AcquireError { refusal, retry_after }| Failure::unsent(refusal, retry_after),
+        )?;
+        let server = grant.server().cloned();
+        let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+        let latest = Routing::latest(state, call, outbound.head());
+        if is_in_homes(state, &latest.route, &server) {
+            break (requirements, grant, server);
+        }
+        // The homes of a route may change while its requests wait.
+        if latest.version == routing.version {
+            report_outside_homes(state, call, &grant, &server);
+            return Err(Failure::unsent(Refusal::NoServer, None));
+        }
+        routing = latest;
     };
-    let grant = grant::acquire(state, &requirements).await;
-    let grant = grant
-        .map_err(|AcquireError { refusal, retry_after }| Failure::unsent(refusal, retry_after))?;
-    let server = grant.server().cloned();
-    let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
-    if !is_in_homes(state, call.route, &server) {
-        report_outside_homes(state, call, &grant, &server);
-        return Err(Failure::unsent(Refusal::NoServer, None));
-    }
     let sent_at = state.clock.now();
     let remaining = call.deadline.remaining(sent_at);
     let remaining = remaining.ok_or_else(|| Failure::unsent(Refusal::Expired, None))?;
@@ -237,6 +232,50 @@
     }
 }
 
+/// The route of a request, and the version of the routes that it is from.
+#[derive(Debug)]
+struct Routing {
+    version: u64,
+    route: Arc<Route>,
+}
+
+impl Routing {
+    /// The route of a request as it is now, or as it was last if it has been removed.
+    fn latest(state: &Shared, call: &Call<'_>, head: &http::request::Parts) -> Routing {
+        let snapshot = state.snapshot();
+        let newer = snapshot.table.as_ref().filter(|table| table.version != call.routes_version);
+        let route = newer.and_then(|table| Some((table.version, front::find_route(table, head)?)));
+        let (version, route) =
+            route.unwrap_or_else(|| (call.routes_version, Arc::clone(call.route)));
+        Routing { version, route }
+    }
+}
+
+/// What a request needs of a slot now, on a route with these home regions. `None` if no region that may
+/// serve it has a server.
+fn requirements<'a>(
+    state: &Shared,
+    call: &Call<'a>,
+    route: &Route,
+    excluded: Option<backend::Name>,
+) -> Option<Requirements<'a>> {
+    let now = state.clock.now();
+    let region = state.snapshot().serving_region(&state.settings, route, call.service)?;
+    let time = TimeLeft {
+        objective: call.objective.remaining(now).unwrap_or_default(),
+        deadline: call.deadline.remaining(now).unwrap_or_default(),
+    };
+    let region_bound = route.is_bound().then_some(region);
+    Some(Requirements {
+        id: call.id,
+        service: call.service,
+        region,
+        priority: call.route.priority,
+        time,
+        criteria: Criteria { object: call.object, excluded, region: region_bound },
+    })
+}
+
 /// Whether a route may be served by this server. Checked again right before a request is sent, as
 /// other hosts may disagree about the region of a server.
 fn is_in_homes(state: &Shared, route: &Route, server: &Server) -> bool {
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -82,6 +82,7 @@
         let call = Call {
             id,
             route: &route,
+            routes_version: table.version,
             service,
             object: requested_object(&head.headers, state.names.object_cookie, &route, service),
             objective: Deadline(arrived + objective.saturating_sub(age)),
@@ -117,7 +118,7 @@
 }
 
 /// Finds the route by the request's host name and the longest matching path prefix.
-fn find_route(table: &Table, head: &request::Parts) -> Option<Arc<Route>> {
+pub(super) fn find_route(table: &Table, head: &request::Parts) -> Option<Arc<Route>> {
     let named = head.uri.authority().map(|authority| authority.as_str());
     let host = named.or_else(|| names::text(&head.headers, &header::HOST))?;
     let host = match host.rsplit_once(':') {
