Keep the hosts of a zone together when the store answers only some of them

The poll is shorter by the pause now, and an empty answer is followed by none.

Seen to fail before: hosts_that_the_store_is_silent_to_follow_their_neighbours (reader and follower late), follower_that_the_store_rejects_returns_to_its_reader, zone_keeps_its_reader_while_the_store_is_slow_and_idle (6 losses). zone_of_enough_live_hosts_shares_a_reader is new.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod arbiter;
 pub mod directory;
 pub mod feed;
+pub mod follow;
 pub mod forward;
 pub mod front;
 pub mod grant;
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -1,15 +1,10 @@
-//! Follows the platform's store. While it is unavailable, the last known state stays in use.
+//! Applies what the platform's store tells about routes, servers and hosts. While the store is
+//! unavailable, the last known state stays in use.
 
 use oleanderspan::{
     availability,
     backend::{self, listing},
-    entry::{
-        self, Version,
-        journal::Entry,
-        lag::Missing,
-        membership::jitter,
-        roster::{Candidate, Peer},
-    },
+    entry::{self, Version, membership::jitter, roster::Peer},
     prelude::*,
     route::Table,
     service,
@@ -20,24 +15,14 @@
     clock::ThreadRandom,
     codec,
     gateway::{
-        Source, State, feed, message,
-        source::{Error, Row, Rows, Server, Topic},
+        Source, State,
+        follow::{MAX_BACKOFF, MIN_BACKOFF, Update, follow},
+        message,
+        source::{Row, Server, Topic},
         state::ClusterView,
     },
 };
 
-/// How long a long poll for changes stays open at the store.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(20_000);
-
-/// The delay before the first retry after a failed call to the store.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-
-/// The longest delay between retries, so that a recovery of the store is noticed within a second.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
-
-/// How long this host reads from the store itself after the host that reads for it has failed.
-const DIRECT_READ_PERIOD: Duration = Duration::from_millis(3_000);
-
 /// How often removed servers and lost evacuations are checked for the end of their grace period.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -66,238 +51,6 @@
     tokio::join!(announce, follow);
 }
 
-/// Rows of a topic and where this host has them from.
-struct Update<'a> {
-    rows: Vec<Row>,
-    /// The store's version that the rows reflect.
-    version: Version,
-    /// Whether the rows are the whole topic rather than changes.
-    is_full: bool,
-    /// Whether the store has come back from an older copy, so that rows may be missing.
-    is_restored: bool,
-    /// The host that read the rows from the store, for logs; `None` for this host.
-    reader: Option<&'a entry::Name>,
-}
-
-/// Reads a topic in full and then follows its changes; never returns.
-async fn follow<S: Source>(
-    state: &State,
-    source: &S,
-    topic: Topic,
-    apply: impl Fn(&State, Update<'_>),
-) {
-    let mut after = None;
-    let mut era = None;
-    let mut backoff = MIN_BACKOFF;
-    let mut unavailable_since = None;
-    let mut direct_until = Instant::ZERO;
-    loop {
-        if let Some(version) = after
-            && unavailable_since.is_none()
-            && let Some(reader) = reader(state, topic, direct_until)
-        {
-            state.feed(topic).stop();
-            let read = read_from_peer(state, source, topic, version, &reader);
-            let read = match unless_late(state, topic, version, read).await {
-                Ok(read) => read,
-                Err(missing) => {
-                    direct_until = state.clock.now() + DIRECT_READ_PERIOD;
-                    after = resume_after(version, &missing);
-                    continue;
-                }
-            };
-            match read {
-                Ok((version, rows)) => {
-                    after = Some(version);
-                    feed::record_answer(state, topic, version, rows.latest);
-                    let rows = rows.rows;
-                    let (is_full, is_restored) = (false, false);
-                    let reader = Some(&reader.name);
-                    apply(state, Update { rows, version, is_full, is_restored, reader });
-                }
-                Err(reason) => {
-                    info!(state.log, "cannot read changes from peer; reading from the store";
-                        "topic" => topic.as_str(),
-                        "reader" => %reader.name, "reason" => %reason);
-                    direct_until = state.clock.now() + DIRECT_READ_PERIOD;
-                }
-            }
-            continue;
-        }
-        let read = read_from_store(state, source, topic, after);
-        let read = match after {
-            Some(version) => match unless_late(state, topic, version, read).await {
-                Ok(read) => read,
-                Err(missing) => {
-                    after = resume_after(version, &missing);
-                    continue;
-                }
-            },
-            None => read.await,
-        };
-        match read {
-            Ok((version, rows)) => {
-                backoff = MIN_BACKOFF;
-                if let Some(since) = unavailable_since.take() {
-                    let outage: Duration = state.clock.now().since(since);
-                    info!(state.log, "store answers again"; "topic" => topic.as_str(),
-                        "away_ms" => outage.as_millis());
-                    accept_missing_servers(state);
-                }
-                let is_restored =
-                    era.replace(version.era).is_some_and(|before| before != version.era);
-                if is_restored {
-                    info!(state.log, "store came back from an older copy"; "topic" => topic.as_str(),
-                        "era" => version.era, "version" => version.number);
-                    if topic == Topic::Servers {
-                        accept_missing_servers(state);
-                    }
-                }
-                let is_full = after.is_none();
-                after = Some(version);
-                feed::record_answer(state, topic, version, rows.latest);
-                let (rows, reader) = (rows.rows, None);
-                apply(state, Update { rows, version, is_full, is_restored, reader });
-                // Lets further changes accumulate: each batch costs every reading host one call.
-                let readers = state.view().roster.expected_readers() + 1;
-                tokio::time::sleep(topic.batch_interval(readers)).await;
-            }
-            Err(Error::HistoryTruncated) => {
-                info!(state.log, "store cannot resume the topic; reading it in full";
-                    "topic" => topic.as_str(),
-                    "version" => after.map(|version| version.number),
-                    "reason" => "the store no longer has the changes since that version");
-                after = None;
-            }
-            Err(Error::Unavailable(reason)) => {
-                state.feed(topic).stop();
-                if unavailable_since.is_none() {
-                    warn!(state.log, "store does not answer"; "topic" => topic.as_str(),
-                        "reason" => reason);
-                    unavailable_since = Some(state.clock.now());
-                }
-                // The store answers a full read at once, so its recovery is noticed immediately; a
-                // long poll would return only with the next change.
-                after = None;
-                tokio::time::sleep(jitter(backoff, &mut ThreadRandom)).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
-            }
-        }
-    }
-}
-
-/// Lets servers that the store does not list stay in use until they have had the time to register again.
-fn accept_missing_servers(state: &State) {
-    state.update(|view, now| {
-        view.listing.store_recovered(now);
-        false
-    });
-}
-
-/// Where to go on after a call that was given up, or `None` to read the topic in full: changes cannot be
-/// followed into a later era.
-fn resume_after(version: Version, missing: &Missing) -> Option<Version> {
-    Some(version).filter(|version| version.era == missing.version.era)
-}
-
-/// Waits for the changes after a version, or returns the change that other hosts have read for so long
-/// that this host's own call must have failed without a sign.
-async fn unless_late<T>(
-    state: &State,
-    topic: Topic,
-    version: Version,
-    read: impl Future<Output = T>,
-) -> Result<T, Missing> {
-    tokio::select! {
-        biased;
-        read = read => Ok(read),
-        missing = state.feed(topic).wait_until_late(topic.max_lag(), state.clock) => {
-            info!(state.log, "another host has read a later change; asking the store again";
-                "topic" => topic.as_str(), "version" => version.number, "era" => version.era,
-                "later" => missing.version.number, "later_era" => missing.version.era,
-                "host" => %missing.host, "retries" => missing.retries);
-            Err(missing)
-        }
-    }
-}
-
-/// Reads a topic in full if `after` is `None`, otherwise its changes since that version, and
-/// publishes them to the other hosts of the zone.
-async fn read_from_store<S: Source>(
-    state: &State,
-    source: &S,
-    topic: Topic,
-    after: Option<Version>,
-) -> Result<(Version, Rows), Error> {
-    let Some(after) = after else {
-        let pages = source.list(topic).await?;
-        let version = pages.first().map_or(Version::default(), |page| page.version);
-        if pages.iter().any(|page| page.version.era != version.era) {
-            return Err(Error::HistoryTruncated);
-        }
-        let mut rows = Rows::default();
-        for page in pages {
-            let page = source.decode(topic, &page.bytes)?;
-            rows.rows.extend(page.rows);
-            rows.latest = rows.latest.max(page.latest);
-        }
-        state.feed(topic).restart(version, state.clock.now() + topic.confirmation_validity());
-        return Ok((version, rows));
-    };
-    let wait = match reads_for_others(state, topic) {
-        true => topic.confirmation_interval(),
-        false => LONG_POLL_TIMEOUT,
-    };
-    let page = source.follow(topic, after.number, wait).await?;
-    // The store has come back from an older copy. Its numbers may have passed the one asked for, so
-    // that the page lacks the changes below it.
-    if page.version.era != after.era {
-        return Err(Error::HistoryTruncated);
-    }
-    let rows = source.decode(topic, &page.bytes)?;
-    let version = page.version;
-    let entry = Entry { after, version, page: page.bytes };
-    state.feed(topic).push(entry, state.clock.now() + topic.confirmation_validity());
-    Ok((version, rows))
-}
-
-/// The host that reads a topic on behalf of this one, or `None` if this host reads the store
-/// itself.
-fn reader(state: &State, topic: Topic, direct_until: Instant) -> Option<Peer> {
-    let now = state.clock.now();
-    if now < direct_until {
-        return None;
-    }
-    state.view().roster.reader(own_candidate(state), topic.as_str(), now).cloned()
-}
-
-/// Whether this host reads a topic on behalf of the other hosts of its zone.
-fn reads_for_others(state: &State, topic: Topic) -> bool {
-    let now = state.clock.now();
-    state.view().roster.reads_for_others(own_candidate(state), topic.as_str(), now)
-}
-
-fn own_candidate(state: &State) -> Candidate<'_> {
-    let settings = &state.settings;
-    Candidate { name: &settings.host, zone: settings.zone, millicores: settings.millicores }
-}
-
-/// Reads the changes since version `after` from the host that follows the store.
-async fn read_from_peer<S: Source>(
-    state: &State,
-    source: &S,
-    topic: Topic,
-    after: Version,
-    reader: &Peer,
-) -> Result<(Version, Rows), feed::Error> {
-    let Some(page) = feed::fetch(state, reader, topic, after).await? else {
-        return Ok((after, Rows::default()));
-    };
-    let rows = source.decode(topic, &page.bytes);
-    let rows = rows.map_err(|error| feed::Error::Malformed(error.to_string()))?;
-    Ok((page.version, rows))
-}
-
 fn apply_operator(state: &State, update: Update<'_>) {
     let Update { rows, is_full, is_restored, reader, .. } = update;
     let mut active = Set::default();
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -57,16 +57,6 @@
     pub millicores: u32,
 }
 
-/// Who reads a topic from the store for the hosts of a zone.
-enum Reader<'a> {
-    /// Each host for itself.
-    Each,
-    /// This host for all.
-    Own,
-    /// Another host for all.
-    Peer(&'a Peer),
-}
-
 #[derive(Debug)]
 struct PeerState {
     peer: Peer,
@@ -175,37 +165,35 @@
     /// Only a host with the most processor time reads for others: all of them learn of changes as
     /// late as it does, and a small one is behind with its work when clients press.
     pub fn reader(&self, own: Candidate<'_>, topic: &str, now: Instant) -> Option<&Peer> {
-        match self.zone_reader(own, topic, now) {
-            Reader::Peer(peer) => Some(peer),
-            Reader::Each | Reader::Own => None,
+        if !self.shares_reader(own.zone, now) {
+            return None;
+        }
+        let near = || self.live_near(own.zone, now);
+        let most = near().map(|peer| peer.millicores).max()?;
+        if own.millicores > most {
+            return None;
         }
+        let largest = near().filter(|peer| peer.millicores == most);
+        let first = rank::highest(largest, topic, |peer| peer.name.as_str())?;
+        let weight = |host: &entry::Name| rank::weight(topic, host.as_str());
+        (own.millicores < most || weight(&first.name) > weight(own.name)).then_some(first)
     }
 
-    /// Whether `own` reads `topic` from the store for the other hosts of its zone.
-    pub fn reads_for_others(&self, own: Candidate<'_>, topic: &str, now: Instant) -> bool {
-        matches!(self.zone_reader(own, topic, now), Reader::Own)
+    /// Whether one host of this zone, which is that of this host, reads the store for all.
+    pub fn shares_reader(&self, zone: availability::Index, now: Instant) -> bool {
+        self.live_near(zone, now).count() + 1 >= SHARED_READER_MIN_HOSTS
     }
 
-    fn zone_reader(&self, own: Candidate<'_>, topic: &str, now: Instant) -> Reader<'_> {
-        let live = self.peers.values().filter(|state| is_live(state, now) && !state.is_leaving);
-        let near = live.map(|state| &state.peer).filter(|peer| peer.zone == own.zone);
-        let near: Vec<&Peer> = near.collect();
-        if near.len() + 1 < SHARED_READER_MIN_HOSTS {
-            return Reader::Each;
-        }
-        let most = near.iter().map(|peer| peer.millicores).max().unwrap_or(0);
-        if own.millicores > most {
-            return Reader::Own;
-        }
-        let largest = near.into_iter().filter(|peer| peer.millicores == most);
-        let first = rank::highest(largest, topic, |peer| peer.name.as_str());
-        let weight = |host: &entry::Name| rank::weight(topic, host.as_str());
-        match first {
-            Some(peer) if own.millicores < most || weight(&peer.name) > weight(own.name) => {
-                Reader::Peer(peer)
-            }
-            _ => Reader::Own,
-        }
+    /// The live hosts of a zone, except this one.
+    fn live_near(&self, zone: availability::Index, now: Instant) -> impl Iterator<Item = &Peer> {
+        let live =
+            self.peers.values().filter(move |state| is_live(state, now) && !state.is_leaving);
+        live.map(|state| &state.peer).filter(move |peer| peer.zone == zone)
+    }
+
+    /// The listed host of this region with this name, other than this one.
+    pub fn peer(&self, name: &entry::Name) -> Option<&Peer> {
+        self.peers.get(name).map(|state| &state.peer)
     }
 
     /// Number of hosts that read a topic from the store when all hosts see each other as live. This
--- a/crates/oleanderspan/tests/roster.rs
+++ b/crates/oleanderspan/tests/roster.rs
@@ -256,3 +256,20 @@
         "the answer is older than the time-out"
     );
 }
+
+/// All hosts of a zone that shares a reader poll the store briefly, also those that left their reader
+/// for a while.
+#[test]
+fn zone_of_enough_live_hosts_shares_a_reader() {
+    let mut roster = Roster::default();
+    let zone = availability::Index(0);
+    for (port, name) in (1..).zip(["b", "c", "d"]) {
+        assert!(!roster.shares_reader(zone, at(0)), "too few hosts");
+        let peer = peer(name, port);
+        roster.insert(peer.clone());
+        roster.record_answer(&peer.name, false, at(0));
+    }
+    assert!(roster.shares_reader(zone, at(0)));
+    assert!(!roster.shares_reader(availability::Index(1), at(0)), "another zone");
+    assert!(!roster.shares_reader(zone, at(1_601)), "the others are no longer live");
+}
