Log the home regions of bound routes with the routes in force

The logs of the incident inc1 show which version of the routes a host had, but not whether the homes of the probed route differ between versions; the line "routes in force" names them now. No decision has changed.

--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -6,7 +6,7 @@
     backend::{self, listing},
     entry::{self, Version, membership::jitter, roster::Peer},
     prelude::*,
-    route::Table,
+    route::{Route, Table},
     service,
 };
 use slog::{info, warn};
@@ -101,13 +101,25 @@
             table.inherit_observations(before);
         }
         info!(state.log, "routes in force"; "version" => table.version, "before" => old,
-            "routes" => table.len(), "bound_routes" => table.bound_routes(),
+            "routes" => table.len(), "bound_routes" => table.bound_routes().count(),
+            "homes" => homes(&table),
             "reader" => reader.map(entry::Name::as_str));
         view.table = Some(Arc::new(table));
         true
     });
 }
 
+/// The home regions of the routes that have any, for logs: `ROUTE=REGION+REGION`, separated by commas.
+fn homes(table: &Table) -> String {
+    let homes = |route: &Arc<Route>| {
+        let regions: Vec<&str> = route.homes.iter().map(|region| region.as_str()).collect();
+        format!("{}={}", route.name, regions.join("+"))
+    };
+    let mut homes: Vec<String> = table.bound_routes().map(homes).collect();
+    homes.sort_unstable();
+    homes.join(",")
+}
+
 fn set_evacuation(state: &State, zone: availability::Index, is_active: bool) {
     state.update(|view, now| {
         let has_changed = match is_active {
--- a/crates/oleanderspan/src/route/table.rs
+++ b/crates/oleanderspan/src/route/table.rs
@@ -40,9 +40,9 @@
         self.hosts.values().map(Vec::len).sum()
     }
 
-    /// The number of routes that only some regions may serve.
-    pub fn bound_routes(&self) -> usize {
-        self.hosts.values().flatten().filter(|route| route.is_bound()).count()
+    /// The routes that only some regions may serve.
+    pub fn bound_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten().filter(|route| route.is_bound())
     }
 
     /// Whether there are no routes.
