Send nothing more to a server that says in an answer that it is leaving

Callers saw nothing yet, as no server sent the header; the platform's new rule says that one that does (`Server-Leaving: 1`) gets no request from that host later than `drain_ms` after. Only the list could tell a host that a server leaves, and an entry that came back or changed made a new state that had forgotten it.

What a start of a server says of itself is a `backend::Notice` now, shared by all states of that start: a changed entry, a removal and a return find it again in the listing, a slot from another host too. It is one atomic, asked where a server is placed and by the sending host right before it sends; a slot that is no longer wanted goes back and another is taken. Requests that wait for that server alone are refused the wait at its next released slot and choose another one. The next request for a slot tells the host that gives them out, which takes it as said to itself. The last 4,096 starts that have said something are kept.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod lending;
 pub mod message;
 pub mod names;
+pub mod notice;
 pub mod objects;
 pub mod page;
 pub mod peers;
--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -24,7 +24,7 @@
         message::{
             FOLLOW_PATH, LOAN_PATH, Liveness, PING_PATH, Ping, SLOT_PATH, ServerReport, SlotRequest,
         },
-        peers,
+        notice, peers,
         slots::{self, AcquireError, Allocation},
     },
     http::{Body, server::Handler},
@@ -130,6 +130,12 @@
             report.incarnation.is_none_or(|start| start == server.identity.incarnation)
         };
         let server = server.filter(is_same_start);
+        if let (true, Some(_), Some(server)) = (report.is_leaving, report.incarnation, server)
+            && notice::record_leaving(&self.0, server)
+        {
+            info!(self.0.log, "server said to another host that it is leaving; allocating none of \
+                its slots"; "server" => &report.server, "incarnation" => report.incarnation);
+        }
         if let (true, Some(server)) = (report.is_unusable, server) {
             info!(self.0.log, "server reported unusable; pausing its slots";
                 "server" => &report.server,
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -16,6 +16,7 @@
     entry::outbound::OutboundRequest,
     gateway::{
         grant::{self, Grant, Requirements},
+        notice,
         slots::AcquireError,
         state::Shared,
     },
@@ -34,6 +35,9 @@
 /// run.
 const MAX_RETRIES: u32 = 3;
 
+/// Maximum number of slots that one attempt acquires before it finds a server that is not leaving.
+const MAX_GRANTS: u32 = 4;
+
 /// How much later than the server's deadline this host stops waiting, so that an answer that the
 /// server sends at its deadline still arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
@@ -177,7 +181,7 @@
         objective: call.objective.remaining(now).unwrap_or_default(),
         deadline: call.deadline.remaining(now).unwrap_or_default(),
     };
-    let requirements = Requirements {
+    let mut requirements = Requirements {
         id: call.id,
         service: call.service,
         region,
@@ -189,11 +193,7 @@
             region: call.route.is_bound().then_some(region),
         },
     };
-    let grant = grant::acquire(state, &requirements).await;
-    let grant = grant
-        .map_err(|AcquireError { refusal, retry_after }| Failure::unsent(refusal, retry_after))?;
-    let server = grant.server().cloned();
-    let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+    let (grant, server) = acquire_open(state, &mut requirements).await?;
     if !is_in_homes(state, call.route, &server) {
         report_outside_homes(state, call, &grant, &server);
         return Err(Failure::unsent(Refusal::NoServer, None));
@@ -237,6 +237,32 @@
     }
 }
 
+/// Acquires a slot of a server that has not said meanwhile that it is leaving: the request may have
+/// waited between the grant of its slot and now.
+async fn acquire_open(
+    state: &Shared,
+    requirements: &mut Requirements<'_>,
+) -> Result<(Grant, Arc<Server>), Failure> {
+    for _ in 0..MAX_GRANTS {
+        let asked_at = state.clock.now();
+        let grant = grant::acquire(state, requirements).await;
+        let grant = grant.map_err(|AcquireError { refusal, retry_after }| {
+            Failure::unsent(refusal, retry_after)
+        })?;
+        let server = grant.server().cloned();
+        let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+        if !server.is_leaving() {
+            return Ok((grant, server));
+        }
+        info!(state.log, "server is leaving since its slot was granted; returning the slot";
+            "request" => requirements.id, "server" => %server.identity.name);
+        state.returned_grants.fetch_add(1, Ordering::Relaxed);
+        let waited = state.clock.now().since(asked_at);
+        requirements.time = requirements.time.after(waited);
+    }
+    Err(Failure::unsent(Refusal::NoServer, None))
+}
+
 /// Whether a route may be served by this server. Checked again right before a request is sent, as
 /// other hosts may disagree about the region of a server.
 fn is_in_homes(state: &Shared, route: &Route, server: &Server) -> bool {
@@ -302,6 +328,7 @@
     if id != Some(call.id) && !(id.is_none() && is_refusal) {
         return Err(broken);
     }
+    notice::observe(state, call, server, &head);
     if is_refusal || head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err((Refusal::Shed, Outcome::NotRun));
     }
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -2,6 +2,8 @@
 //! slots of a service, so that its counts are exact. The other hosts request slots from it and send
 //! the requests to the server themselves.
 
+use std::sync::atomic::Ordering;
+
 use http::{HeaderMap, StatusCode, header};
 use hyper::body::Incoming;
 use oleanderspan::{
@@ -131,18 +133,13 @@
             Err(Failure::Rejected(error)) => return Err(error),
             // Hosts learn of server changes at slightly different times. Dropping the response
             // releases the slot, and the next slot request reports the server to the arbiter.
-            Err(Failure::Unusable(server)) => {
+            Err(Failure::Unusable { server, is_leaving }) => {
                 info!(state.log, "arbiter granted a server that is unusable here; excluding it";
                     "request" => requirements.id, "server" => %server.name,
-                    "host" => %peer.name);
-                state.reports.push(ServerReport {
-                    service: requirements.service.to_string(),
-                    server: server.name.to_string(),
-                    incarnation: Some(server.incarnation),
-                    latency_us: None,
-                    reuse_distance: None,
-                    is_unusable: true,
-                });
+                    "host" => %peer.name, "said_leaving" => is_leaving);
+                state.returned_grants.fetch_add(u64::from(is_leaving), Ordering::Relaxed);
+                let unusable = unusable_report(requirements.service, &server);
+                report(state, ServerReport { is_leaving, ..unusable });
                 criteria.excluded = Some(server.name);
             }
             Err(Failure::OutsideRegion(server)) => {
@@ -166,7 +163,11 @@
 enum Failure {
     Rejected(AcquireError),
     /// The server is leaving, gone or evacuated.
-    Unusable(Identity),
+    Unusable {
+        server: Identity,
+        /// Whether the server has said itself that it is leaving.
+        is_leaving: bool,
+    },
     /// The server is not in the only region that may run the request.
     OutsideRegion(backend::Name),
     NoAnswer(String),
@@ -209,21 +210,28 @@
     let granted_server = granted_server(answer.headers(), &state.settings.topology)
         .ok_or_else(|| no_answer("the response has no valid server headers"))?;
     // The arbiter may have learned first of a new server, or of a new start under the same name.
-    let granted = &granted_server.identity;
+    let granted = granted_server.identity.clone();
     let known = state.snapshot().server(&granted.name).cloned();
     let known = known.filter(|known| known.identity.incarnation >= granted.incarnation);
-    let is_unusable = match &known {
-        Some(known) => known.identity != *granted || !is_usable(known),
+    let (server, is_unusable) = match known {
+        Some(known) => {
+            let is_unusable = known.identity != granted || !is_usable(&known);
+            (known, is_unusable)
+        }
         None => {
             let view = state.view();
-            view.listing.was_removed(granted)
-                || view.evacuated.contains(&granted_server.location.zone)
+            let notice = view.listing.notice_of(&granted).unwrap_or_default();
+            let is_unusable = notice.is_leaving()
+                || view.listing.was_removed(&granted)
+                || view.evacuated.contains(&granted_server.location.zone);
+            (Arc::new(granted_server.with_notice(notice)), is_unusable)
         }
     };
     if is_unusable {
-        return Err(Failure::Unusable(granted_server.identity));
+        let is_same_start = server.identity == granted;
+        let is_leaving = is_same_start && server.notice().is_leaving();
+        return Err(Failure::Unusable { server: granted, is_leaving });
     }
-    let server = known.unwrap_or_else(|| Arc::new(granted_server));
     if !criteria.allows_region_of(&server) {
         return Err(Failure::OutsideRegion(server.identity.name.clone()));
     }
@@ -277,18 +285,44 @@
         slots::record_outcome(pool, server, grant.reuse_distance(), latency);
     }
     if matches!(grant, Grant::Remote { .. }) {
-        if state.reports.len() >= MAX_PENDING_REPORTS {
-            state.reports.pop();
-        }
-        state.reports.push(ServerReport {
-            service: requirements.service.to_string(),
-            server: server.identity.name.to_string(),
-            incarnation: Some(server.identity.incarnation),
-            latency_us: latency
-                .map(|latency| u64::try_from(latency.as_micros()).unwrap_or(u64::MAX)),
-            reuse_distance: grant.reuse_distance().map(ReuseDistance::number),
-            is_unusable: false,
-        });
+        report(
+            state,
+            ServerReport {
+                service: requirements.service.to_string(),
+                server: server.identity.name.to_string(),
+                incarnation: Some(server.identity.incarnation),
+                latency_us: latency
+                    .map(|latency| u64::try_from(latency.as_micros()).unwrap_or(u64::MAX)),
+                reuse_distance: grant.reuse_distance().map(ReuseDistance::number),
+                is_unusable: false,
+                is_leaving: false,
+            },
+        );
+    }
+}
+
+/// Queues a report for the next slot request.
+pub fn report(state: &Shared, report: ServerReport) {
+    if state.reports.len() >= MAX_PENDING_REPORTS {
+        state.reports.pop();
+    }
+    state.reports.push(report);
+}
+
+/// The report on a server that says that it is leaving.
+pub fn leaving_report(service: &service::Name, server: &Server) -> ServerReport {
+    ServerReport { is_leaving: true, ..unusable_report(service, &server.identity) }
+}
+
+fn unusable_report(service: &service::Name, server: &Identity) -> ServerReport {
+    ServerReport {
+        service: service.to_string(),
+        server: server.name.to_string(),
+        incarnation: Some(server.incarnation),
+        latency_us: None,
+        reuse_distance: None,
+        is_unusable: true,
+        is_leaving: false,
     }
 }
 
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -72,6 +72,9 @@
     /// that case no request was sent to it.
     #[serde(default)]
     pub is_unusable: bool,
+    /// Whether this start of the server has said in an answer that it is leaving.
+    #[serde(default)]
+    pub is_leaving: bool,
 }
 
 /// Path on which a host hands on the store changes that it reads for its zone ([`Follow`]).
--- a/crates/node/src/gateway/names.rs
+++ b/crates/node/src/gateway/names.rs
@@ -17,4 +17,6 @@
     pub target_server: HeaderName,
     /// Present if the server rejected the request without running it.
     pub not_run: HeaderName,
+    /// With the value `1`: the server is leaving.
+    pub server_leaving: HeaderName,
 }
--- a/crates/node/src/gateway/page.rs
+++ b/crates/node/src/gateway/page.rs
@@ -67,6 +67,8 @@
     let counts = [
         ("gateway.outside_homes", &state.outside_homes),
         ("gateway.foreign_lookups", &state.foreign_lookups),
+        ("gateway.said_leaving", &state.said_leaving),
+        ("gateway.returned_grants", &state.returned_grants),
     ];
     for (name, count) in counts {
         let _ = client.gauge(name, count.load(Ordering::Relaxed));
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -75,6 +75,10 @@
     pub stop: Stop,
     /// Number of slots granted outside the home regions of their request's route.
     pub outside_homes: AtomicU64,
+    /// Number of starts of servers that said in an answer, to this host or another, that they leave.
+    pub said_leaving: AtomicU64,
+    /// Number of granted slots that were given back because the server had said that it leaves.
+    pub returned_grants: AtomicU64,
     /// Number of lookups of hosts by clients of other regions.
     pub foreign_lookups: AtomicU64,
     /// Observations about servers whose slots other hosts hand out, to be sent to these hosts.
@@ -148,6 +152,8 @@
             counters: Counters::new(),
             stop: Stop::default(),
             outside_homes: AtomicU64::new(0),
+            said_leaving: AtomicU64::new(0),
+            returned_grants: AtomicU64::new(0),
             foreign_lookups: AtomicU64::new(0),
             reports: SegQueue::new(),
             feeds: std::array::from_fn(|_| Feed::default()),
@@ -429,5 +435,5 @@
 
 /// Whether a server may receive requests: it is neither leaving nor evacuated.
 pub fn is_usable(server: &Server) -> bool {
-    !server.is_leaving() && !server.is_evacuated()
+    server.accepts_requests()
 }
--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     availability::Location,
-    backend::{self, Server, cold, server::Identity},
+    backend::{self, Notice, Notices, Server, cold, server::Identity},
     prelude::*,
     service,
 };
@@ -74,6 +74,8 @@
     /// The start of each removed server and when it was removed, so that grants of hosts that have
     /// not seen the removal are not used.
     removed: Map<backend::Name, (u64, Instant)>,
+    /// What starts of servers have said in their answers, also of those that are not listed now.
+    notices: Notices,
     /// When the store last recovered from an outage.
     recovered_at: Option<Instant>,
 }
@@ -103,7 +105,9 @@
             }
         }
         let identity = Identity { name: name.clone(), incarnation: entry.born_millis };
+        let notice = self.notice_of(&identity).unwrap_or_default();
         let server = Server::new(identity, entry.address, entry.location, entry.slots);
+        let server = server.with_notice(notice);
         let mut warm_at = now + entry.cold_left;
         if let Some(previous) = self.servers.remove(name) {
             let same_start = previous.entry.born_millis == entry.born_millis;
@@ -177,6 +181,20 @@
         expired
     }
 
+    /// What this start of a server has said of itself, if it is listed or has said anything.
+    pub fn notice_of(&self, identity: &Identity) -> Option<Arc<Notice>> {
+        let listed = self.servers.get(&identity.name).map(|listed_server| &listed_server.server);
+        let listed = listed.filter(|server| server.identity == *identity);
+        listed.map(|server| server.notice()).or_else(|| self.notices.get(identity)).map(Arc::clone)
+    }
+
+    /// Keeps what this start of a server says, in case that its entry is removed and returns. Returns
+    /// the notice that other states of the start share.
+    pub fn keep_notice(&mut self, identity: &Identity, notice: &Arc<Notice>) -> Arc<Notice> {
+        let shared = self.notice_of(identity).unwrap_or_else(|| Arc::clone(notice));
+        self.notices.keep(identity, &shared)
+    }
+
     /// Whether this start of a server or a later one was listed and has been removed, as far as the
     /// removal is still remembered.
     pub fn was_removed(&self, identity: &Identity) -> bool {
--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -152,6 +152,10 @@
         queue: &ServerQueue<W>,
         now: Instant,
     ) {
+        if !queue.is_empty() && !server.accepts_requests() {
+            // They would wait in vain; the callers choose another server.
+            return self.refuse_all(queue);
+        }
         while !queue.is_empty() && self.try_acquire_slot(server, now) {
             let granted = match self.pop_server_queue(queue, now) {
                 Some(queued) => queued.waiter.grant(Arc::clone(server)),
@@ -207,7 +211,7 @@
         let members = self.members.load();
         for (server, queue) in previous.iter() {
             let is_usable = members.queue_of(server).is_some() && server.own_slots() > 0;
-            if is_usable && !server.is_leaving() && !server.is_evacuated() {
+            if is_usable && server.accepts_requests() {
                 continue;
             }
             self.refuse_all(queue);
@@ -224,6 +228,6 @@
 
 /// Whether a server accepts requests now, free slots aside.
 pub(super) fn takes_requests(server: &Server, now: Instant) -> bool {
-    let is_usable = !server.is_leaving() && !server.is_evacuated() && server.own_slots() > 0;
+    let is_usable = server.accepts_requests() && server.own_slots() > 0;
     is_usable && server.cold().is_open(now) && !server.is_avoided(now)
 }
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -8,7 +8,7 @@
 use crate::{
     availability::Location,
     backend::{
-        self, cold,
+        self, Notice, cold,
         recent_objects::{Object, RecentObjects, ReuseDistance},
     },
     prelude::*,
@@ -46,6 +46,7 @@
     slots: u32,
     in_flight: AtomicU32,
     leaving: AtomicBool,
+    notice: Arc<Notice>,
     latency_nanos: AtomicU64,
     failures: AtomicU32,
     answered_at: AtomicU64,
@@ -67,6 +68,7 @@
             slots,
             in_flight: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            notice: Arc::default(),
             latency_nanos: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             answered_at: AtomicU64::new(0),
@@ -78,10 +80,20 @@
         }
     }
 
+    /// The server with the notice of its start, which other states of that start share.
+    pub fn with_notice(self, notice: Arc<Notice>) -> Server {
+        Server { notice, ..self }
+    }
+
+    /// What this start of the server has said of itself in its answers.
+    pub fn notice(&self) -> &Arc<Notice> {
+        &self.notice
+    }
+
     /// Takes a slot, or returns `false` if none is free, the server is leaving or its zone is
     /// evacuated.
     pub fn try_acquire_slot(&self) -> bool {
-        if self.is_leaving() || self.is_evacuated() {
+        if !self.accepts_requests() {
             return false;
         }
         self.in_flight
@@ -103,8 +115,8 @@
 
     /// Number of slots free by this host's own count; zero if the server accepts no requests.
     pub fn free(&self) -> u32 {
-        let takes_none = self.is_leaving() || self.is_evacuated();
-        if takes_none { 0 } else { self.own_slots().saturating_sub(self.in_flight()) }
+        let taken = if self.accepts_requests() { self.in_flight() } else { u32::MAX };
+        self.own_slots().saturating_sub(taken)
     }
 
     /// Number of slots that this host may hand out.
@@ -184,9 +196,14 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
-    /// Whether the server was marked as leaving.
+    /// Whether the server was marked as leaving, or has said so in an answer.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst)
+        self.leaving.load(Ordering::SeqCst) || self.notice.is_leaving()
+    }
+
+    /// Whether the server may be sent requests: it is neither leaving nor evacuated.
+    pub fn accepts_requests(&self) -> bool {
+        !self.is_leaving() && !self.is_evacuated()
     }
 
     /// Adds the latency of an answer to the moving average and resets the count of failures.
