--- a/crates/node/src/entry/slot.rs
+++ b/crates/node/src/entry/slot.rs
@@ -2,7 +2,7 @@
 
 use oleanderspan::{
     backend::{
-        Pool, Server, Waiter,
+        Pool, Sender, Server, Waiter,
         pool::{Criteria, Rank},
     },
     prelude::*,
@@ -44,6 +44,7 @@
 pub struct QueuedRequest {
     pool: Arc<Pool<QueuedRequest>>,
     clock: Monotonic,
+    sender: Option<Sender>,
     signal: oneshot::Sender<Lease>,
 }
 
@@ -57,6 +58,10 @@
             Err(mut lease) => lease.server.take().map_or(Ok(()), Err),
         }
     }
+
+    fn sender(&self) -> Option<Sender> {
+        self.sender
+    }
 }
 
 /// Acquires a slot, waiting for at most `limit`. Fails with [`Refusal::NoServer`] if all servers
@@ -73,7 +78,8 @@
         return Err(Refusal::NoServer);
     }
     let (signal, granted) = oneshot::channel();
-    pool.enqueue(QueuedRequest { pool: Arc::clone(pool), clock, signal }, limit, clock.now());
+    let queued = QueuedRequest { pool: Arc::clone(pool), clock, sender: None, signal };
+    pool.enqueue(queued, limit, clock.now());
     match tokio::time::timeout(limit, granted).await {
         Ok(Ok(lease)) => Ok(lease),
         _ => Err(Refusal::Overloaded),
@@ -105,10 +111,11 @@
     clock: Monotonic,
     server: &Arc<Server>,
     rank: Rank,
+    sender: Option<Sender>,
     limit: Duration,
 ) -> Option<Lease> {
     let (signal, granted) = oneshot::channel();
-    let queued = QueuedRequest { pool: Arc::clone(pool), clock, signal };
+    let queued = QueuedRequest { pool: Arc::clone(pool), clock, sender, signal };
     pool.enqueue_for_server(queued, server, rank, limit, clock.now());
     tokio::time::timeout(limit, granted).await.ok()?.ok()
 }
@@ -123,7 +130,7 @@
     limit: Duration,
 ) -> Option<Lease> {
     let (signal, granted) = oneshot::channel();
-    let queued = QueuedRequest { pool: Arc::clone(pool), clock, signal };
+    let queued = QueuedRequest { pool: Arc::clone(pool), clock, sender: criteria.sender, signal };
     pool.enqueue_ranked(queued, rank, criteria, limit, clock.now());
     tokio::time::timeout(limit, granted).await.ok()?.ok()
 }
--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oleanderspan::{
-    backend::{self, Object, ReuseDistance, Server, pool::Criteria},
+    backend::{self, Object, ReuseDistance, Sender, Server, pool::Criteria},
     entry,
     prelude::*,
     request::{Refusal, admission::TimeLeft},
@@ -77,8 +77,10 @@
 
 impl Arbiter {
     async fn slot(&self, request: SlotRequest) -> Answer {
-        request.reports.iter().for_each(|report| self.record_report(report));
-        match self.grant(&request).await {
+        let host = request.host.as_deref().and_then(|host| entry::Name::try_from(host).ok());
+        let sender = host.as_ref().map(Sender::from);
+        request.reports.iter().for_each(|report| self.record_report(report, sender));
+        match self.grant(&request, sender).await {
             Ok(allocation) => {
                 let mut headers = HeaderMap::new();
                 grant::insert_server_headers(&mut headers, &allocation, &self.0.settings.topology);
@@ -94,7 +96,11 @@
         }
     }
 
-    async fn grant(&self, request: &SlotRequest) -> Result<Allocation, AcquireError> {
+    async fn grant(
+        &self,
+        request: &SlotRequest,
+        sender: Option<Sender>,
+    ) -> Result<Allocation, AcquireError> {
         let state = &self.0;
         let no_server = AcquireError { refusal: Refusal::NoServer, retry_after: None };
         let service = service::Name::try_from(request.service.as_str()).map_err(|_| no_server)?;
@@ -115,11 +121,12 @@
             object: request.object.map(Object::from_hash),
             excluded,
             region: request.is_bound.then_some(state.settings.region),
+            sender,
         };
         slots::acquire(&pool, state.clock, request.priority, time, criteria).await
     }
 
-    fn record_report(&self, report: &ServerReport) {
+    fn record_report(&self, report: &ServerReport, sender: Option<Sender>) {
         let snapshot = self.0.snapshot();
         let service = service::Name::try_from(report.service.as_str()).ok();
         let server = backend::Name::try_from(report.server.as_str()).ok();
@@ -136,6 +143,10 @@
             info!(self.0.log, "server said to another host that it is leaving; allocating none of \
                 its slots"; "server" => &report.server, "incarnation" => report.incarnation);
         }
+        if let (Some(spare_ms), Some(sender), Some(server)) = (report.spare_ms, sender, server) {
+            notice::record_spare(&self.0, server, sender, Duration::from_millis(spare_ms));
+            return;
+        }
         if let (true, Some(server)) = (report.is_unusable, server) {
             info!(self.0.log, "server reported unusable; pausing its slots";
                 "server" => &report.server,
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -35,7 +35,7 @@
 /// run.
 const MAX_RETRIES: u32 = 3;
 
-/// Maximum number of slots that one attempt acquires before it finds a server that is not leaving.
+/// Maximum number of slots that one attempt acquires before it finds a server that wants it.
 const MAX_GRANTS: u32 = 4;
 
 /// How much later than the server's deadline this host stops waiting, so that an answer that the
@@ -191,6 +191,7 @@
             object: call.object,
             excluded,
             region: call.route.is_bound().then_some(region),
+            sender: Some(state.sender),
         },
     };
     let (grant, server) = acquire_open(state, &mut requirements).await?;
@@ -237,8 +238,8 @@
     }
 }
 
-/// Acquires a slot of a server that has not said meanwhile that it is leaving: the request may have
-/// waited between the grant of its slot and now.
+/// Acquires a slot of a server that has not said meanwhile that it wants no requests: this one may
+/// have waited between the grant of its slot and now.
 async fn acquire_open(
     state: &Shared,
     requirements: &mut Requirements<'_>,
@@ -251,11 +252,13 @@
         })?;
         let server = grant.server().cloned();
         let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
-        if !server.is_leaving() {
+        let spared_until = server.notice().spared_until(state.sender, state.clock.now());
+        if !server.is_leaving() && spared_until.is_none() {
             return Ok((grant, server));
         }
-        info!(state.log, "server is leaving since its slot was granted; returning the slot";
-            "request" => requirements.id, "server" => %server.identity.name);
+        info!(state.log, "server wants no more requests since its slot was granted; returning it";
+            "request" => requirements.id, "server" => %server.identity.name,
+            "leaving" => server.is_leaving());
         state.returned_grants.fetch_add(1, Ordering::Relaxed);
         let waited = state.clock.now().since(asked_at);
         requirements.time = requirements.time.after(waited);
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -133,13 +133,13 @@
             Err(Failure::Rejected(error)) => return Err(error),
             // Hosts learn of server changes at slightly different times. Dropping the response
             // releases the slot, and the next slot request reports the server to the arbiter.
-            Err(Failure::Unusable { server, is_leaving }) => {
+            Err(Failure::Unusable { server, why }) => {
                 info!(state.log, "arbiter granted a server that is unusable here; excluding it";
                     "request" => requirements.id, "server" => %server.name,
-                    "host" => %peer.name, "said_leaving" => is_leaving);
-                state.returned_grants.fetch_add(u64::from(is_leaving), Ordering::Relaxed);
-                let unusable = unusable_report(requirements.service, &server);
-                report(state, ServerReport { is_leaving, ..unusable });
+                    "host" => %peer.name, "why" => ?why);
+                let has_said = u64::from(why != Unusable::Gone);
+                state.returned_grants.fetch_add(has_said, Ordering::Relaxed);
+                report(state, unusable_report(requirements.service, &server, why));
                 criteria.excluded = Some(server.name);
             }
             Err(Failure::OutsideRegion(server)) => {
@@ -158,15 +158,24 @@
     Err(AcquireError { refusal: Refusal::NotReady, retry_after: Refusal::NotReady.retry_after() })
 }
 
+/// Why a granted server is not sent the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unusable {
+    /// It is leaving, gone or evacuated.
+    Gone,
+    /// It has said itself that it is leaving.
+    Leaving,
+    /// It has asked this host to send it nothing for so long.
+    Spared(Duration),
+}
+
 /// Why a slot request failed.
 #[derive(Debug)]
 enum Failure {
     Rejected(AcquireError),
-    /// The server is leaving, gone or evacuated.
     Unusable {
         server: Identity,
-        /// Whether the server has said itself that it is leaving.
-        is_leaving: bool,
+        why: Unusable,
     },
     /// The server is not in the only region that may run the request.
     OutsideRegion(backend::Name),
@@ -192,6 +201,7 @@
         object: criteria.object.map(Object::hash),
         excluded: criteria.excluded.as_ref().map(|name| name.to_string()),
         is_bound: criteria.region.is_some(),
+        host: Some(state.settings.host.to_string()),
         reports,
     };
     let request = message::request(peer.address, SLOT_PATH, &message).map_err(no_answer)?;
@@ -227,10 +237,14 @@
             (Arc::new(granted_server.with_notice(notice)), is_unusable)
         }
     };
-    if is_unusable {
-        let is_same_start = server.identity == granted;
-        let is_leaving = is_same_start && server.notice().is_leaving();
-        return Err(Failure::Unusable { server: granted, is_leaving });
+    let now = state.clock.now();
+    let why = match server.notice().spared_until(state.sender, now) {
+        _ if server.identity == granted && server.notice().is_leaving() => Some(Unusable::Leaving),
+        _ if is_unusable => Some(Unusable::Gone),
+        ends => ends.map(|ends| Unusable::Spared(ends.since(now))),
+    };
+    if let Some(why) = why {
+        return Err(Failure::Unusable { server: granted, why });
     }
     if !criteria.allows_region_of(&server) {
         return Err(Failure::OutsideRegion(server.identity.name.clone()));
@@ -296,6 +310,7 @@
                 reuse_distance: grant.reuse_distance().map(ReuseDistance::number),
                 is_unusable: false,
                 is_leaving: false,
+                spare_ms: None,
             },
         );
     }
@@ -311,18 +326,28 @@
 
 /// The report on a server that says that it is leaving.
 pub fn leaving_report(service: &service::Name, server: &Server) -> ServerReport {
-    ServerReport { is_leaving: true, ..unusable_report(service, &server.identity) }
+    unusable_report(service, &server.identity, Unusable::Leaving)
 }
 
-fn unusable_report(service: &service::Name, server: &Identity) -> ServerReport {
+/// The report on a server that this host is to send nothing for so long.
+pub fn spare_report(service: &service::Name, server: &Identity, spared: Duration) -> ServerReport {
+    unusable_report(service, server, Unusable::Spared(spared))
+}
+
+fn unusable_report(service: &service::Name, server: &Identity, why: Unusable) -> ServerReport {
+    let spare_ms = match why {
+        Unusable::Spared(spared) => Some(millis(spared)),
+        Unusable::Gone | Unusable::Leaving => None,
+    };
     ServerReport {
         service: service.to_string(),
         server: server.name.to_string(),
         incarnation: Some(server.incarnation),
         latency_us: None,
         reuse_distance: None,
-        is_unusable: true,
-        is_leaving: false,
+        is_unusable: spare_ms.is_none(),
+        is_leaving: why == Unusable::Leaving,
+        spare_ms,
     }
 }
 
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -48,6 +48,10 @@
     /// Whether the request must stay in the region.
     #[serde(default)]
     pub is_bound: bool,
+    /// Name of the asking host, which servers may have asked to spare them; absent in requests of older
+    /// builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
     /// Outcomes of earlier requests on servers that the arbiter allocates.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<ServerReport>,
@@ -75,6 +79,9 @@
     /// Whether this start of the server has said in an answer that it is leaving.
     #[serde(default)]
     pub is_leaving: bool,
+    /// For how long the reporting host is to send the server nothing, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spare_ms: Option<u64>,
 }
 
 /// Path on which a host hands on the store changes that it reads for its zone ([`Follow`]).
--- a/crates/node/src/gateway/names.rs
+++ b/crates/node/src/gateway/names.rs
@@ -19,4 +19,6 @@
     pub not_run: HeaderName,
     /// With the value `1`: the server is leaving.
     pub server_leaving: HeaderName,
+    /// With 503: for how many seconds the server wants nothing from this host.
+    pub spare_s: HeaderName,
 }
--- a/crates/node/src/gateway/notice.rs
+++ b/crates/node/src/gateway/notice.rs
@@ -2,9 +2,12 @@
 
 use std::sync::atomic::Ordering;
 
-use http::{HeaderMap, StatusCode, response};
-use oleanderspan::{backend::Server, prelude::*};
-use slog::info;
+use http::{HeaderMap, HeaderValue, StatusCode, response};
+use oleanderspan::{
+    backend::{Notice, Sender, Server},
+    prelude::*,
+};
+use slog::{info, warn};
 
 use crate::{
     gateway::{forward::Call, grant, state::Shared},
@@ -26,27 +29,76 @@
             "incarnation" => server.identity.incarnation, "status" => head.status.as_u16());
         grant::report(state, grant::leaving_report(call.service, server));
     }
+    if head.status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(raw) = head.headers.get(&state.names.spare_s)
+    {
+        match parse_seconds(raw) {
+            Some(asked) if asked.is_zero() => {}
+            Some(asked) => spare(state, call, server, asked),
+            None => warn!(state.log, "server asks to be spared for no whole number of seconds; \
+                ignoring it"; "request" => call.id, "server" => %server.identity.name,
+                "asked" => String::from_utf8_lossy(raw.as_bytes()).into_owned()),
+        }
+    }
 }
 
 fn says_leaving(state: &Shared, headers: &HeaderMap) -> bool {
     names::text(headers, &state.names.server_leaving) == Some(IS_LEAVING)
 }
 
+/// A whole number of seconds; one too large for the type is the longest time.
+fn parse_seconds(raw: &HeaderValue) -> Option<Duration> {
+    let digits = raw.to_str().ok()?;
+    let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| Duration::from_secs(digits.parse().unwrap_or(u64::MAX)))
+}
+
+/// Sends the server nothing for the time that it asked of this host, and lets the arbiter know.
+fn spare(state: &Shared, call: &Call<'_>, server: &Server, asked: Duration) {
+    let now = state.clock.now();
+    let ends = server.notice().spare(&server.identity, state.sender, asked, now);
+    keep(state, server, |notice| notice.spare_until(state.sender, ends, now));
+    state.spares.fetch_add(1, Ordering::Relaxed);
+    let spared = ends.since(now);
+    info!(state.log, "server asks to be spared; sending it nothing until then";
+        "request" => call.id, "server" => %server.identity.name,
+        "incarnation" => server.identity.incarnation, "asked_s" => asked.as_secs(),
+        "spared_ms" => spared.as_millis());
+    if state.snapshot().remote_arbiter(&state.settings, call.service).is_some() {
+        grant::report(state, grant::spare_report(call.service, &server.identity, spared));
+    }
+}
+
+/// Records that another host is to send the server nothing for so long.
+pub fn record_spare(state: &Shared, server: &Server, sender: Sender, spared: Duration) {
+    let now = state.clock.now();
+    let record = |notice: &Notice| notice.spare_until(sender, now + spared, now);
+    record(server.notice());
+    keep(state, server, record);
+}
+
 /// Records that this start of a server is leaving; returns whether that is news to this host.
 pub fn record_leaving(state: &Shared, server: &Server) -> bool {
     let is_news = server.notice().record_leaving();
-    if !is_news && server.notice().is_kept() {
-        return false;
+    keep(state, server, |notice| {
+        notice.record_leaving();
+    });
+    state.said_leaving.fetch_add(u64::from(is_news), Ordering::Relaxed);
+    is_news
+}
+
+/// Keeps what the server has said, in case that its entry is removed and returns. If it has done so
+/// since the request was sent, records it on the notice that is in use now.
+fn keep(state: &Shared, server: &Server, record: impl FnOnce(&Notice)) {
+    if server.notice().is_kept() {
+        return;
     }
     state.update(|view, _| {
         let shared = view.listing.keep_notice(&server.identity, server.notice());
-        // The entry may have been removed and have returned since the request was sent.
         if !Arc::ptr_eq(&shared, server.notice()) {
-            shared.record_leaving();
+            record(&shared);
         }
         // The pools ask the notice itself, so they need no new snapshot.
         false
     });
-    state.said_leaving.fetch_add(u64::from(is_news), Ordering::Relaxed);
-    is_news
 }
--- a/crates/node/src/gateway/slots.rs
+++ b/crates/node/src/gateway/slots.rs
@@ -17,9 +17,8 @@
 };
 
 use crate::{
-    clock::Monotonic,
+    clock::{Monotonic, ThreadRandom},
     entry::slot::{self, Lease, QueuedRequest},
-    gateway::state::is_usable,
 };
 
 /// Suggested retry delay if a service has no usable server: about the time that a platform takes to
@@ -90,7 +89,8 @@
         Placement::Taken(server) => Ok(slot::lease_acquired(pool, clock, server)),
         Placement::AnyServer => Err(time),
         Placement::ServerQueue(server) => {
-            let lease = slot::wait_for_server(pool, clock, &server, rank, max_wait).await;
+            let lease =
+                slot::wait_for_server(pool, clock, &server, rank, criteria.sender, max_wait).await;
             lease.ok_or(time.after(clock.now().since(started_at)))
         }
     }
@@ -104,8 +104,8 @@
     criteria: Criteria,
 ) -> Result<Lease, AcquireError> {
     let servers = pool.servers();
-    let is_allowed = |server: &Server| is_usable(server) && criteria.allows_region_of(server);
-    let usable = servers.iter().filter(|server| is_allowed(server));
+    let now = clock.now();
+    let usable = servers.iter().filter(|server| criteria.may_wait_for(server, now));
     let mut load = Load {
         ahead: 0,
         slots: usable.map(|server| server.own_slots()).sum(),
@@ -114,7 +114,7 @@
     };
     drop(servers);
     if load.slots == 0 {
-        return Err(no_server());
+        return Err(all_spared(pool, clock, &criteria).unwrap_or_else(no_server));
     }
     let rank = admission::rank(priority, time, &load);
     load.ahead = pool.queued_before(rank, &criteria);
@@ -123,15 +123,39 @@
             Err(AcquireError { refusal: Refusal::Overloaded, retry_after: Some(retry_after) })
         }
         Decision::Wait { limit } => {
-            let granted = slot::wait_ranked(pool, clock, rank, criteria, limit).await;
-            granted.ok_or_else(|| AcquireError {
+            let waits = criteria.clone();
+            let granted = slot::wait_ranked(pool, clock, rank, waits, limit).await;
+            let overloaded = || AcquireError {
                 refusal: Refusal::Overloaded,
                 retry_after: Some(admission::retry_after(time.after(limit), &load)),
-            })
+            };
+            granted.ok_or_else(|| all_spared(pool, clock, &criteria).unwrap_or_else(overloaded))
         }
     }
 }
 
+/// The error for a request whose host is to spare all servers that could run it, with the shortest of
+/// the times; `None` if one of them is not to be spared, or there is none.
+fn all_spared(
+    pool: &Pool<QueuedRequest>,
+    clock: Monotonic,
+    criteria: &Criteria,
+) -> Option<AcquireError> {
+    let now = clock.now();
+    let servers = pool.servers();
+    let is_allowed = |server: &&Arc<Server>| {
+        server.accepts_requests() && server.own_slots() > 0 && criteria.allows_region_of(server)
+    };
+    let ends: Option<Vec<Instant>> = servers
+        .iter()
+        .filter(is_allowed)
+        .map(|server| criteria.spared_until(server, now))
+        .collect();
+    let shortest = ends?.into_iter().min()?.since(now);
+    let retry_after = admission::spread_return(shortest, &mut ThreadRandom);
+    Some(AcquireError { refusal: Refusal::Overloaded, retry_after: Some(retry_after) })
+}
+
 /// The error for a service without a usable server.
 pub fn no_server() -> AcquireError {
     AcquireError { refusal: Refusal::NoServer, retry_after: Some(NO_SERVER_RETRY_AFTER) }
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use crossbeam_queue::SegQueue;
 use oleanderspan::{
     availability,
-    backend::{self, Listing, Pool, Server, listing::ListedServer, pool::OverloadPolicy},
+    backend::{self, Listing, Pool, Sender, Server, listing::ListedServer, pool::OverloadPolicy},
     entry::{
         Roster, rank,
         roster::{self, Peer},
@@ -75,9 +75,13 @@
     pub stop: Stop,
     /// Number of slots granted outside the home regions of their request's route.
     pub outside_homes: AtomicU64,
+    /// What stands for this host where servers ask hosts to spare them.
+    pub sender: Sender,
+    /// Number of answers by which servers asked this host to spare them.
+    pub spares: AtomicU64,
     /// Number of starts of servers that said in an answer, to this host or another, that they leave.
     pub said_leaving: AtomicU64,
-    /// Number of granted slots that were given back because the server had said that it leaves.
+    /// Number of granted slots that were given back because of what the server had said meanwhile.
     pub returned_grants: AtomicU64,
     /// Number of lookups of hosts by clients of other regions.
     pub foreign_lookups: AtomicU64,
@@ -140,6 +144,7 @@
             keepalive_interval,
             ..Default::default()
         };
+        let sender = Sender::from(&settings.host);
         let single_use = client::Options { idle_timeout: Duration::ZERO, ..pooled };
         State(Arc::new(Shared {
             settings,
@@ -152,6 +157,8 @@
             counters: Counters::new(),
             stop: Stop::default(),
             outside_homes: AtomicU64::new(0),
+            sender,
+            spares: AtomicU64::new(0),
             said_leaving: AtomicU64::new(0),
             returned_grants: AtomicU64::new(0),
             foreign_lookups: AtomicU64::new(0),
--- a/crates/oleanderspan/benches/placement.rs
+++ b/crates/oleanderspan/benches/placement.rs
@@ -10,10 +10,11 @@
 use oleanderspan::{
     availability::{self, Location},
     backend::{
-        Name, Object, Pool, ReuseDistance, Server, Waiter,
+        Name, Object, Pool, ReuseDistance, Sender, Server, Waiter,
         pool::{Criteria, OverloadPolicy, Placement, Rank},
         server::Identity,
     },
+    entry,
     prelude::*,
     region,
     request::admission::{self, Load, TimeLeft},
@@ -58,6 +59,17 @@
     pool
 }
 
+/// How long servers are spared, longer than the benchmark's clock runs.
+const SPARED: Duration = Duration::from_secs(60);
+
+fn sender() -> Sender {
+    Sender::from(&entry::Name::try_from("host-1").unwrap())
+}
+
+fn other_host() -> entry::Name {
+    entry::Name::try_from("host-2").unwrap()
+}
+
 fn criteria(object: u64) -> Criteria {
     Criteria { object: Some(Object::from_hash(object)), ..Criteria::default() }
 }
@@ -76,6 +88,22 @@
                 pool.release(&server, at(9));
             });
         });
+        let sender = Some(sender());
+        let spared = pool.servers();
+        for server in spared.iter().step_by(10) {
+            server.notice().spare(&server.identity, Sender::from(&other_host()), SPARED, at(9));
+        }
+        criterion.bench_function(&format!("the same, a tenth spared by others, {servers}"), |b| {
+            b.iter(|| {
+                object = object % (u64::from(servers) * 8) + 1;
+                let criteria = Criteria { sender, ..criteria(object) };
+                let placed = pool.place(&criteria, Rank::default(), Duration::ZERO, at(9));
+                let Placement::Taken(server) = black_box(placed) else {
+                    panic!("no caching server has a free slot")
+                };
+                pool.release(&server, at(9));
+            });
+        });
         criterion.bench_function(&format!("place an uncached object, {servers} servers"), |b| {
             b.iter(|| {
                 let server = pool.try_acquire_for(&criteria(1 << 40), at(9)).unwrap();
--- a/crates/oleanderspan/src/backend.rs
+++ b/crates/oleanderspan/src/backend.rs
@@ -13,7 +13,7 @@
 pub use cache_model::CacheModel;
 pub use cache_state::CacheState;
 pub use listing::Listing;
-pub use notice::{Notice, Notices};
+pub use notice::{Notice, Notices, Sender};
 pub use pool::{Pool, Waiter};
 pub use recent_objects::{Object, ReuseDistance};
 pub use server::Server;
--- a/crates/oleanderspan/src/backend/notice.rs
+++ b/crates/oleanderspan/src/backend/notice.rs
@@ -5,33 +5,163 @@
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use crate::{backend::server::Identity, prelude::*};
+use arc_swap::ArcSwapOption;
+
+use crate::{
+    backend::server::Identity,
+    entry::{self, rank},
+    prelude::*,
+};
 
 /// Number of starts whose notices are kept apart from the listing. The oldest are dropped first; a
 /// listed server holds its own notice.
 const MAX_KEPT: usize = 4_096;
 
-/// The value of [`Notice::closed_until`] once the server has said that it is leaving.
+/// The longest time for which a server may ask to be spared. A longer one is cut to it, as the sender
+/// would not notice in good time that the server wants requests again.
+pub const MAX_SPARE: Duration = Duration::from_secs(60);
+
+/// The ends of the times that a server asked of several hosts are moved by up to this, each by its
+/// own part of it, so that they do not all come back at once.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
+
+/// How long after its end a spared server gets requests at a limited rate from that host.
+const RETURN_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// The interval between requests of one host while it returns to a spared server.
+const RETURN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Number of hosts that one server may ask to spare it. Each of them checks for itself whether it is
+/// to spare the server, so that one dropped here costs only a slot given out in vain.
+const MAX_SPARING_HOSTS: usize = 128;
+
+/// The value of [`Notice::special_until`] once the server has said that it is leaving.
 const LEAVING: u64 = u64::MAX;
 
+key! {
+    /// A host that sends requests to servers.
+    pub struct Sender(u64);
+}
+
+impl From<&entry::Name> for Sender {
+    fn from(host: &entry::Name) -> Sender {
+        Sender(rank::weight_for_hash(0, host.as_str()))
+    }
+}
+
 /// What one start of a server has said of itself. All states of that start share it, so that what
 /// was said outlives a change of the entry, its removal and its return.
 #[derive(Debug, Default)]
 pub struct Notice {
-    /// One atomic, so that asking costs a single load.
-    closed_until: AtomicU64,
+    /// Until when the server is more than a server like any other, in nanoseconds of the clock: one
+    /// atomic, so that asking costs a single load while nothing was said.
+    special_until: AtomicU64,
     is_kept: AtomicBool,
+    /// The hosts that are to spare the server, replaced as a whole.
+    spares: ArcSwapOption<Vec<Arc<Spare>>>,
+}
+
+/// A time for which one host sends the server nothing.
+#[derive(Debug)]
+struct Spare {
+    sender: Sender,
+    ends: Instant,
+    /// When the next request may follow after the end, in nanoseconds of the clock.
+    next: AtomicU64,
+}
+
+impl Spare {
+    fn new(sender: Sender, ends: Instant) -> Spare {
+        Spare { sender, ends, next: AtomicU64::new(ends.as_nanos()) }
+    }
+
+    /// Whether the time and the return after it are over.
+    fn is_over(&self, now: Instant) -> bool {
+        now >= self.ends + RETURN_PERIOD
+    }
 }
 
 impl Notice {
     /// Records that the server is leaving, which is never undone; returns whether that is news.
     pub fn record_leaving(&self) -> bool {
-        self.closed_until.swap(LEAVING, Ordering::SeqCst) != LEAVING
+        self.special_until.swap(LEAVING, Ordering::SeqCst) != LEAVING
     }
 
     /// Whether the server has said that it is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.closed_until.load(Ordering::SeqCst) == LEAVING
+        self.special_until.load(Ordering::SeqCst) == LEAVING
+    }
+
+    /// Records that the server asked `sender` to spare it for the time `asked`, which is bounded by
+    /// [`MAX_SPARE`], and returns when that ends. A shorter time never takes back a longer one.
+    pub fn spare(
+        &self,
+        identity: &Identity,
+        sender: Sender,
+        asked: Duration,
+        now: Instant,
+    ) -> Instant {
+        let steps = RETURN_SPREAD.as_millis() as u64;
+        let part = rank::weight_for_hash(sender.0, identity.name.as_str()) % steps;
+        let ends = now + asked.min(MAX_SPARE) + Duration::from_millis(part);
+        self.spare_until(sender, ends, now);
+        ends
+    }
+
+    /// Records that `sender` is to spare the server until `ends`, as far as [`MAX_SPARE`] allows.
+    pub fn spare_until(&self, sender: Sender, ends: Instant, now: Instant) {
+        let ends = ends.min(now + MAX_SPARE + RETURN_SPREAD);
+        self.spares.rcu(|spares| {
+            let others = spares.iter().flat_map(|spares| spares.iter());
+            let (own, mut others): (Vec<_>, Vec<_>) = others
+                .filter(|spare| !spare.is_over(now))
+                .map(Arc::clone)
+                .partition(|spare| spare.sender == sender);
+            if others.len() >= MAX_SPARING_HOSTS {
+                others.sort_by_key(|spare| spare.ends);
+                others.remove(0);
+            }
+            let longer = own.into_iter().find(|spare| spare.ends >= ends);
+            others.push(longer.unwrap_or_else(|| Arc::new(Spare::new(sender, ends))));
+            Some(Arc::new(others))
+        });
+        self.special_until.fetch_max((ends + RETURN_PERIOD).as_nanos(), Ordering::SeqCst);
+    }
+
+    /// Until when `sender` is to send the server nothing; `None` if it may send.
+    pub fn spared_until(&self, sender: Sender, now: Instant) -> Option<Instant> {
+        self.find_spare(sender, now).map(|spare| spare.ends).filter(|ends| now < *ends)
+    }
+
+    /// Whether [`Notice::try_pass`] would admit a request of `sender`.
+    pub fn is_open(&self, sender: Option<Sender>, now: Instant) -> bool {
+        let spare = sender.and_then(|sender| self.find_spare(sender, now));
+        spare.is_none_or(|spare| spare.next.load(Ordering::Relaxed) <= now.as_nanos())
+    }
+
+    /// Admits one request of `sender`, or returns `false` if it is to spare the server or has just
+    /// returned to it.
+    pub fn try_pass(&self, sender: Option<Sender>, now: Instant) -> bool {
+        let Some(spare) = sender.and_then(|sender| self.find_spare(sender, now)) else {
+            return true;
+        };
+        let following = (now + RETURN_INTERVAL).as_nanos();
+        let pass = |next: u64| (next <= now.as_nanos()).then_some(following);
+        spare.next.fetch_update(Ordering::Relaxed, Ordering::Relaxed, pass).is_ok()
+    }
+
+    fn find_spare(&self, sender: Sender, now: Instant) -> Option<Arc<Spare>> {
+        if now.as_nanos() >= self.special_until.load(Ordering::SeqCst) {
+            return None;
+        }
+        let spares = self.spares.load();
+        let spare = spares.as_ref()?.iter().find(|spare| spare.sender == sender);
+        spare.filter(|spare| !spare.is_over(now)).map(Arc::clone)
+    }
+
+    /// Number of hosts of which the server has asked something.
+    pub fn sparing_hosts(&self) -> usize {
+        self.spares.load().as_ref().map_or(0, |spares| spares.len())
     }
 
     /// Whether [`Notices`] has the notice.
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -12,7 +12,7 @@
 pub use waiting::{Criteria, Rank, Waiter};
 
 use crate::{
-    backend::{CacheModel, Object, ReuseDistance, Server},
+    backend::{CacheModel, Object, ReuseDistance, Sender, Server},
     entry::rank,
     prelude::*,
     region::{self, Limiter},
@@ -46,6 +46,10 @@
 /// Resolution at which eviction ages are compared.
 const EVICTION_AGE_STEP: Duration = Duration::from_millis(500);
 
+/// Number of waiters whose host spares the server of a free slot after which the queue is left alone
+/// until the next release or the next call by the timer.
+const MAX_SPARED_TRIES: u32 = 16;
+
 /// How the queue behaves under overload.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum OverloadPolicy {
@@ -67,6 +71,13 @@
     Borrowed,
 }
 
+/// A slot that a waiter did not take.
+struct Returned {
+    server: Arc<Server>,
+    /// Whether the waiter's host is to spare the server, so that another waiter may take the slot.
+    is_spared: bool,
+}
+
 /// Dispatches requests to servers, first come first served within a rank.
 ///
 /// A slot is taken before a waiter is removed from the queue, and the queue is checked again after
@@ -315,7 +326,9 @@
         if is_behind || !self.is_queue_empty() {
             return None;
         }
-        self.take_where(criteria.object, now, |server| criteria.allows(server))
+        self.take_where(criteria.object, criteria.sender, now, |server| {
+            criteria.allows(server, now)
+        })
     }
 
     /// Takes a free slot on a server other than `excluded`, for a retry or a hedged request.
@@ -323,7 +336,7 @@
         if !self.is_queue_empty() {
             return None;
         }
-        self.take_where(None, Instant::ZERO, |server| !std::ptr::eq(server, excluded))
+        self.take_where(None, None, Instant::ZERO, |server| !std::ptr::eq(server, excluded))
     }
 
     /// Queues a waiter with the default rank; it is granted a slot in turn or refused under
@@ -376,6 +389,7 @@
 
     /// Hands free slots to the waiters of the shared queue.
     fn serve_queue(&self, now: Instant) {
+        let mut spared = 0;
         while self.is_servable(now) {
             let Some(server) = self.take(now) else { return };
             let free = match !self.is_borrowed(&server) || self.has_free_in_region(now) {
@@ -384,11 +398,15 @@
             };
             let granted = match self.next_waiter(free, now) {
                 Some(queued) => self.grant(queued, server, now),
-                None => Err(server),
+                None => Err(Returned { server, is_spared: false }),
             };
-            if let Err(server) = granted {
+            if let Err(Returned { server, is_spared }) = granted {
                 server.release_slot();
                 self.limiter.release();
+                spared += u32::from(is_spared);
+                if spared > MAX_SPARED_TRIES {
+                    return;
+                }
             }
         }
     }
@@ -400,20 +418,33 @@
         queued: QueuedWaiter<W>,
         taken: Arc<Server>,
         now: Instant,
-    ) -> Result<(), Arc<Server>> {
+    ) -> Result<(), Returned> {
         let criteria = &queued.criteria;
-        let mut server = self.swap_for_preferred(taken, criteria, now);
+        let mut server = self.swap_for_preferred(Arc::clone(&taken), criteria, now);
+        let mut has_passed = !Arc::ptr_eq(&server, &taken);
         if !criteria.allows_region_of(&server) {
             // Only the excluded server may be free in the region.
-            let in_region = Criteria { region: criteria.region, ..Criteria::default() };
-            server = self.swap_for_preferred(server, &in_region, now);
+            let (region, sender) = (criteria.region, criteria.sender);
+            let in_region = Criteria { region, sender, ..Criteria::default() };
+            let other = self.swap_for_preferred(Arc::clone(&server), &in_region, now);
+            has_passed |= !Arc::ptr_eq(&server, &other);
+            server = other;
         }
-        if criteria.allows_region_of(&server) {
-            return queued.waiter.grant(server);
+        if !criteria.allows_region_of(&server) {
+            // Another request took the last slot in the region.
+            self.passed_over[usize::from(queued.rank.0)].push(queued);
+            return Err(Returned { server, is_spared: false });
+        }
+        if has_passed || server.notice().try_pass(criteria.sender, now) {
+            let granted = queued.waiter.grant(server);
+            return granted.map_err(|server| Returned { server, is_spared: false });
+        }
+        if self.servers().iter().any(|server| criteria.may_wait_for(server, now)) {
+            self.queues[usize::from(queued.rank.0)].push(queued);
+        } else {
+            queued.waiter.refuse();
         }
-        // Another request took the last slot in the region.
-        self.passed_over[usize::from(queued.rank.0)].push(queued);
-        Err(server)
+        Err(Returned { server, is_spared: true })
     }
 
     /// Takes the next waiter that can use a free slot. From the onset of overload until the queue has
@@ -468,7 +499,7 @@
         criteria: &Criteria,
         now: Instant,
     ) -> Arc<Server> {
-        let is_disallowed = !criteria.allows(&taken);
+        let is_disallowed = !criteria.allows(&taken, now);
         let has_cached =
             |server: &Server, object| self.cache_model.is_cached(server.reuse_distance(object));
         let is_cached = criteria.object.is_none_or(|object| has_cached(&taken, object));
@@ -476,14 +507,14 @@
             return taken;
         }
         let is_preferred = |server: &Server| {
-            criteria.allows(server)
+            criteria.allows(server, now)
                 && (is_disallowed
                     || criteria.object.is_some_and(|object| has_cached(server, object)))
         };
         let servers = self.servers();
         while let Some(server) = self.best_server(&servers, criteria.object, now, is_preferred) {
             if server.try_acquire_slot() {
-                if server.cold().try_pass(now) {
+                if passes(server, criteria.sender, now) {
                     taken.release_slot();
                     return Arc::clone(server);
                 }
@@ -494,12 +525,13 @@
     }
 
     fn take(&self, now: Instant) -> Option<Arc<Server>> {
-        self.take_where(None, now, |_| true)
+        self.take_where(None, None, now, |_| true)
     }
 
     fn take_where(
         &self,
         object: Option<Object>,
+        sender: Option<Sender>,
         now: Instant,
         usable: impl Fn(&Server) -> bool,
     ) -> Option<Arc<Server>> {
@@ -511,7 +543,7 @@
         // ends after at most as many rounds as there are slots.
         while let Some(server) = self.best_server(&servers, object, now, &usable) {
             if server.try_acquire_slot() {
-                if server.cold().try_pass(now) {
+                if passes(server, sender, now) {
                     return Some(Arc::clone(server));
                 }
                 server.release_slot();
@@ -522,12 +554,12 @@
     }
 
     /// Takes a slot of this server if the ceiling and the server's cold-start limit admit it.
-    fn try_acquire_slot(&self, server: &Server, now: Instant) -> bool {
+    fn try_acquire_slot(&self, server: &Server, sender: Option<Sender>, now: Instant) -> bool {
         if !self.limiter.try_acquire() {
             return false;
         }
         if server.try_acquire_slot() {
-            if server.cold().try_pass(now) {
+            if passes(server, sender, now) {
                 return true;
             }
             server.release_slot();
@@ -595,6 +627,11 @@
     }
 }
 
+/// Whether the rates that limit a cold server and one that was spared admit a request.
+fn passes(server: &Server, sender: Option<Sender>, now: Instant) -> bool {
+    server.notice().try_pass(sender, now) && server.cold().try_pass(now)
+}
+
 impl<W: Waiter> Default for Pool<W> {
     fn default() -> Pool<W> {
         Pool::new()
--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -84,7 +84,7 @@
         };
         let free = caching().filter(|(server, queue)| server.free() > 0 && queue.is_empty());
         if let Some((server, _)) = free.max_by_key(|(server, _)| server.free())
-            && self.try_acquire_slot(server, now)
+            && self.try_acquire_slot(server, criteria.sender, now)
         {
             return Placement::Taken(Arc::clone(server));
         }
@@ -134,7 +134,7 @@
         criteria: &Criteria,
         now: Instant,
     ) -> bool {
-        criteria.allows(server)
+        criteria.allows(server, now)
             && self.cache_model.is_cached(server.reuse_distance(object))
             && self.is_responsive(server)
             && takes_requests(server, now)
@@ -156,8 +156,8 @@
             // They would wait in vain; the callers choose another server.
             return self.refuse_all(queue);
         }
-        while !queue.is_empty() && self.try_acquire_slot(server, now) {
-            let granted = match self.pop_server_queue(queue, now) {
+        while !queue.is_empty() && self.try_acquire_slot(server, None, now) {
+            let granted = match self.pop_server_queue(server, queue, now) {
                 Some(queued) => queued.waiter.grant(Arc::clone(server)),
                 None => Err(Arc::clone(server)),
             };
@@ -194,11 +194,17 @@
         self.returned_slots.fetch_add(1, Ordering::Relaxed).is_multiple_of(SHARED_QUEUE_INTERVAL)
     }
 
-    fn pop_server_queue(&self, queue: &ServerQueue<W>, now: Instant) -> Option<QueuedWaiter<W>> {
+    fn pop_server_queue(
+        &self,
+        server: &Server,
+        queue: &ServerQueue<W>,
+        now: Instant,
+    ) -> Option<QueuedWaiter<W>> {
         loop {
             let queued = queue.pop()?;
             self.in_server_queues.fetch_sub(1, Ordering::SeqCst);
-            if !queued.has_waited_over(100, now) {
+            let sender = queued.waiter.sender();
+            if !queued.has_waited_over(100, now) && server.notice().try_pass(sender, now) {
                 return Some(queued);
             }
             queued.waiter.refuse();
--- a/crates/oleanderspan/src/backend/pool/waiting.rs
+++ b/crates/oleanderspan/src/backend/pool/waiting.rs
@@ -1,7 +1,7 @@
 //! Waiters: their order in the queue, and which servers they accept.
 
 use crate::{
-    backend::{self, Object, Server},
+    backend::{self, Object, Sender, Server},
     prelude::*,
     region,
 };
@@ -17,6 +17,11 @@
         Self: Sized,
     {
     }
+
+    /// The host that sends the request, if it may have been asked to spare servers.
+    fn sender(&self) -> Option<Sender> {
+        None
+    }
 }
 
 /// Number of ranks: requests in time by priority, then late requests by priority.
@@ -55,11 +60,27 @@
     pub excluded: Option<backend::Name>,
     /// The only region whose servers may run the request; `None` if any may.
     pub region: Option<region::Index>,
+    /// The host that sends the request, which servers may have asked to spare them.
+    pub sender: Option<Sender>,
 }
 
 impl Criteria {
-    pub(super) fn allows(&self, server: &Server) -> bool {
-        self.excluded.as_ref() != Some(&server.identity.name) && self.allows_region_of(server)
+    pub(super) fn allows(&self, server: &Server, now: Instant) -> bool {
+        self.excluded.as_ref() != Some(&server.identity.name)
+            && self.allows_region_of(server)
+            && server.notice().is_open(self.sender, now)
+    }
+
+    /// Whether the server may be sent the request once it has a free slot.
+    pub fn may_wait_for(&self, server: &Server, now: Instant) -> bool {
+        server.accepts_requests()
+            && self.allows_region_of(server)
+            && self.spared_until(server, now).is_none()
+    }
+
+    /// Until when the host of the request is to spare the server; `None` if it may send.
+    pub fn spared_until(&self, server: &Server, now: Instant) -> Option<Instant> {
+        self.sender.and_then(|sender| server.notice().spared_until(sender, now))
     }
 
     /// Whether the request may run in the server's region. Unlike `excluded`, this is binding even
--- a/crates/oleanderspan/src/backend/server.rs
+++ b/crates/oleanderspan/src/backend/server.rs
@@ -115,8 +115,9 @@
 
     /// Number of slots free by this host's own count; zero if the server accepts no requests.
     pub fn free(&self) -> u32 {
-        let taken = if self.accepts_requests() { self.in_flight() } else { u32::MAX };
-        self.own_slots().saturating_sub(taken)
+        let free = self.own_slots().saturating_sub(self.in_flight());
+        // Under load most servers have none, so that this is asked first.
+        if free > 0 && self.accepts_requests() { free } else { 0 }
     }
 
     /// Number of slots that this host may hand out.
--- a/crates/oleanderspan/src/request/admission.rs
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -4,7 +4,7 @@
 //! Admission control queues only requests that can still be served in time and refuses the others
 //! with a retry time.
 
-use crate::{backend::pool::Rank, prelude::*};
+use crate::{backend::pool::Rank, entry::membership::Random, prelude::*};
 
 /// The longest queue time of a late request, in percent of its time left until the deadline.
 ///
@@ -143,6 +143,14 @@
     load.expected_wait().min(max).max(MIN_RETRY_AFTER)
 }
 
+/// How long a client should wait if all servers of its request are to be spared for at least
+/// `shortest`: no less than that, and up to a quarter more, so that clients do not all come back at once.
+pub fn spread_return(shortest: Duration, random: &mut impl Random) -> Duration {
+    const STEPS: usize = 1_000;
+    let part = u32::try_from(random.below(STEPS)).unwrap_or(0);
+    shortest.max(MIN_RETRY_AFTER) + shortest * part / (4 * STEPS as u32)
+}
+
 fn latency_or_default(latency: Duration) -> Duration {
     if latency.is_zero() { DEFAULT_LATENCY } else { latency }
 }
--- a/crates/oleanderspan/tests/notice.rs
+++ b/crates/oleanderspan/tests/notice.rs
@@ -2,19 +2,26 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 
 use oleanderspan::{
     availability::{self, Location},
     backend::{
-        Listing, Name, Notice, Notices, Object, Pool, ReuseDistance, Server, Waiter,
+        Listing, Name, Notice, Notices, Object, Pool, ReuseDistance, Sender, Server, Waiter,
         listing::Entry,
+        notice::MAX_SPARE,
         pool::{Criteria, OverloadPolicy, Placement, Rank},
         server::Identity,
     },
+    entry,
     prelude::*,
     region,
 };
+use proptest::prelude::*;
 
 const LOCATION: Location = Location { zone: availability::Index(0), region: region::Index(0) };
 
@@ -26,7 +33,7 @@
     Name::try_from("server-1").unwrap()
 }
 
-fn entry(born_millis: u64, slots: u32, sequence: u64) -> Entry {
+fn listed(born_millis: u64, slots: u32, sequence: u64) -> Entry {
     Entry {
         service: "shop".try_into().unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
@@ -46,7 +53,7 @@
 /// A listing with one server that has said that it is leaving.
 fn listing_after_leaving() -> (Listing, Arc<Server>) {
     let mut listing = Listing::default();
-    listing.put(&name(), entry(7, 4, 1), at(0));
+    listing.put(&name(), listed(7, 4, 1), at(0));
     let server = Arc::clone(&listing.get(&name()).unwrap().server);
     assert!(server.notice().record_leaving(), "the first time is news");
     assert!(!server.notice().record_leaving(), "the second is not");
@@ -60,7 +67,7 @@
 
 #[test]
 fn no_entry_of_the_same_start_revokes_what_the_server_said() {
-    for next in [entry(7, 4, 2), entry(7, 6, 2), entry(7, 4, 1)] {
+    for next in [listed(7, 4, 2), listed(7, 6, 2), listed(7, 4, 1)] {
         let (mut listing, _) = listing_after_leaving();
         listing.put(&name(), next.clone(), at(10));
         assert!(is_leaving(&listing), "{next:?}");
@@ -74,11 +81,11 @@
 #[test]
 fn only_a_new_start_ends_what_the_server_said() {
     let (mut listing, _) = listing_after_leaving();
-    listing.put(&name(), entry(8, 4, 1), at(10));
+    listing.put(&name(), listed(8, 4, 1), at(10));
     assert!(!is_leaving(&listing));
     assert!(listing.notice_of(&identity(7)).unwrap().is_leaving(), "the former start stays so");
     listing.remove(&name(), at(20));
-    listing.put(&name(), entry(7, 4, 9), at(30));
+    listing.put(&name(), listed(7, 4, 9), at(30));
     assert!(is_leaving(&listing), "the former start is back from an older copy");
 }
 
@@ -86,10 +93,10 @@
 #[test]
 fn late_answer_reaches_the_state_that_is_listed_now() {
     let mut listing = Listing::default();
-    listing.put(&name(), entry(7, 4, 1), at(0));
+    listing.put(&name(), listed(7, 4, 1), at(0));
     let sent_to = Arc::clone(&listing.get(&name()).unwrap().server);
     listing.remove(&name(), at(10));
-    listing.put(&name(), entry(7, 4, 2), at(20));
+    listing.put(&name(), listed(7, 4, 2), at(20));
     sent_to.notice().record_leaving();
     let shared = listing.keep_notice(&sent_to.identity, sent_to.notice());
     shared.record_leaving();
@@ -150,3 +157,227 @@
     assert!(matches!(place(at(4)), Placement::AnyServer));
     assert_eq!(server.in_flight(), 0);
 }
+
+/// The longest time by which the end of a spare is moved, so that hosts do not all come back at once.
+const SPREAD_MILLIS: u64 = 500;
+
+fn sender(host: &str) -> Sender {
+    Sender::from(&entry::Name::try_from(host).unwrap())
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn server_is_spared_by_the_host_that_it_asked_only_and_for_no_less_than_it_asked() {
+    let notice = Notice::default();
+    let (own, other) = (sender("host-1"), sender("host-2"));
+    assert!(notice.is_open(Some(own), at(0)));
+    notice.spare(&identity(7), own, seconds(2), at(100));
+    // A shorter time asked later takes nothing back.
+    notice.spare(&identity(7), own, seconds(1), at(200));
+    for now in (100..2_100).step_by(50).map(at) {
+        assert!(!notice.is_open(Some(own), now) && !notice.try_pass(Some(own), now), "{now:?}");
+        assert!(notice.spared_until(own, now).is_some(), "{now:?}");
+        assert!(notice.is_open(Some(other), now) && notice.is_open(None, now), "{now:?}");
+    }
+    let end = at(2_100 + SPREAD_MILLIS);
+    assert!(notice.spared_until(own, end).is_none() && notice.try_pass(Some(own), end));
+}
+
+#[test]
+fn time_asked_is_bounded() {
+    let notice = Notice::default();
+    notice.spare(&identity(7), sender("host-1"), Duration::MAX, at(0));
+    let limit = MAX_SPARE.as_millis() as u64;
+    assert!(notice.spared_until(sender("host-1"), at(limit - 1)).is_some());
+    assert!(notice.spared_until(sender("host-1"), at(limit + SPREAD_MILLIS)).is_none());
+}
+
+#[test]
+fn leaving_outlasts_a_time_asked_before_or_after() {
+    let notice = Notice::default();
+    notice.spare(&identity(7), sender("host-1"), seconds(1), at(0));
+    notice.record_leaving();
+    notice.spare(&identity(7), sender("host-1"), seconds(1), at(0));
+    assert!(notice.is_leaving());
+}
+
+/// 80 hosts whose times end together: none sends before its end, and they come back one by one.
+#[test]
+fn hosts_return_to_a_spared_server_spread_out() {
+    const HOSTS: usize = 80;
+    let notice = Notice::default();
+    let hosts: Vec<Sender> = (0..HOSTS).map(|n| sender(&format!("host-{n}"))).collect();
+    hosts.iter().for_each(|host| {
+        notice.spare(&identity(7), *host, seconds(2), at(0));
+    });
+    assert_eq!(notice.sparing_hosts(), HOSTS);
+    // Each host tries all the time.
+    let mut passed = Vec::new();
+    for now in 0..2_500 {
+        passed.extend(
+            hosts.iter().filter(|host| notice.try_pass(Some(**host), at(now))).map(|_| now),
+        );
+    }
+    assert!(passed[0] >= 2_000);
+    let in_window = |from: u64| passed.iter().filter(|at| (from..from + 50).contains(*at)).count();
+    // Without the spread all 80 came in the first millisecond. At the end of the spread each of the
+    // hosts sends ten requests a second.
+    assert!(in_window(2_000) <= HOSTS / 5, "{}", in_window(2_000));
+    let peak = (2_000..2_450).map(in_window).max().unwrap();
+    assert!(peak <= HOSTS * 3 / 4, "{peak} requests within 50 ms");
+}
+
+#[test]
+fn state_kept_for_a_server_is_bounded() {
+    let notice = Notice::default();
+    for host in 0..10_000 {
+        notice.spare(&identity(7), sender(&format!("host-{host}")), seconds(60), at(0));
+    }
+    assert!(notice.sparing_hosts() <= 128, "{}", notice.sparing_hosts());
+    notice.spare(&identity(7), sender("host-1"), seconds(1), at(100_000));
+    assert_eq!(notice.sparing_hosts(), 1, "what is over is dropped");
+}
+
+/// A waiter of a host that is to spare servers.
+#[derive(Clone)]
+struct HostTicket(Ticket, Sender);
+
+impl Waiter for HostTicket {
+    fn grant(self, server: Arc<Server>) -> Result<(), Arc<Server>> {
+        self.0.grant(server)
+    }
+
+    fn refuse(self) {
+        self.0.refuse();
+    }
+
+    fn sender(&self) -> Option<Sender> {
+        Some(self.1)
+    }
+}
+
+/// Two servers with one slot each, both taken.
+fn busy_pool() -> (Pool<HostTicket>, Vec<Arc<Server>>) {
+    let pool = Pool::with_overload(OverloadPolicy::ServeUntilLimit);
+    let server = |number: u16| {
+        let name = Name::try_from(format!("server-{number}").as_str()).unwrap();
+        let identity = Identity { name, incarnation: 1 };
+        Arc::new(Server::new(identity, SocketAddr::from(([127, 0, 0, 1], number)), LOCATION, 1))
+    };
+    let servers = vec![server(1), server(2)];
+    pool.update(servers.clone(), u32::MAX);
+    servers.iter().for_each(|_| assert!(pool.try_acquire().is_some()));
+    (pool, servers)
+}
+
+#[test]
+fn queued_requests_of_a_host_pass_over_the_server_that_it_is_to_spare() {
+    let (pool, servers) = busy_pool();
+    let own = sender("host-1");
+    let enqueue = |sender: Sender, now| {
+        let ticket = Ticket::default();
+        let criteria = Criteria { sender: Some(sender), ..Criteria::default() };
+        let waiter = HostTicket(ticket.clone(), sender);
+        pool.enqueue_ranked(waiter, Rank::default(), criteria, seconds(10), now);
+        ticket.0
+    };
+    let first = enqueue(own, at(0));
+    let second = enqueue(sender("host-2"), at(0));
+    servers[0].notice().spare(&servers[0].identity, own, seconds(2), at(1));
+    pool.release(&servers[0], at(2));
+    assert_eq!((first.get(), second.get()), (None, Some(true)), "the other host takes the slot");
+    pool.release(&servers[1], at(3));
+    assert_eq!(first.get(), Some(true), "the first takes that of the other server");
+    // With all servers to be spared, a request that waits ends at once.
+    let third = enqueue(own, at(4));
+    servers[1].notice().spare(&servers[1].identity, own, seconds(2), at(5));
+    pool.release(&servers[1], at(6));
+    assert_eq!(third.get(), Some(false));
+    assert_eq!(servers[1].in_flight(), 0);
+}
+
+proptest! {
+    /// Whatever entries, removals, restarts, answers and grants come in whatever order, no request of
+    /// a host is placed on, or accepted for, a start that has told it that it is leaving or for how
+    /// long it wants nothing.
+    #[test]
+    fn no_request_reaches_a_server_against_what_it_said(
+        steps in proptest::collection::vec((0_u8..9, 0_u64..4, 0_u64..4_000), 1..60),
+    ) {
+        let mut listing = Listing::default();
+        let pool: Pool<Ticket> = Pool::with_overload(OverloadPolicy::ServeUntilLimit);
+        let own = sender("host-1");
+        let mut now = at(0);
+        let mut sequence = 0;
+        // What this host was told, by start.
+        let mut leaving = BTreeSet::new();
+        let mut spared: BTreeMap<u64, Instant> = BTreeMap::new();
+        // Servers of requests that are under way, whose answers are yet to come.
+        let mut sent: Vec<Arc<Server>> = Vec::new();
+        for (step, start, millis) in steps {
+            match step {
+                0 | 1 => {
+                    sequence += 1;
+                    // An entry of some start, at times with other slots; also from an older copy.
+                    let slots = 1 + u32::try_from(millis % 3).unwrap();
+                    listing.put(&name(), listed(start, slots, sequence * u64::from(step)), now);
+                }
+                2 => {
+                    listing.remove(&name(), now);
+                }
+                3 => listing.store_recovered(now),
+                4 => {
+                    listing.expire(now);
+                }
+                5 => now = now + Duration::from_millis(millis),
+                // The answer to a request that is under way.
+                6 | 7 if !sent.is_empty() => {
+                    let server = sent.swap_remove(usize::try_from(millis).unwrap() % sent.len());
+                    let start = server.identity.incarnation;
+                    let shared = if step == 6 {
+                        leaving.insert(start);
+                        server.notice().record_leaving();
+                        listing.keep_notice(&server.identity, server.notice())
+                    } else {
+                        let asked = seconds(1 + millis % 4);
+                        let ends = server.notice().spare(&server.identity, own, asked, now);
+                        let end = spared.entry(start).or_insert(now + asked);
+                        *end = (*end).max(now + asked);
+                        let shared = listing.keep_notice(&server.identity, server.notice());
+                        shared.spare_until(own, ends, now);
+                        shared
+                    };
+                    if step == 6 {
+                        shared.record_leaving();
+                    }
+                    pool.release(&server, now);
+                }
+                _ => {
+                    // Another host grants a slot of some start, whatever this one knows.
+                    let address = "127.0.0.1:9".parse().unwrap();
+                    let notice = listing.notice_of(&identity(start)).unwrap_or_default();
+                    let granted = Server::new(identity(start), address, LOCATION, 1);
+                    let granted = granted.with_notice(notice);
+                    let is_accepted = granted.accepts_requests()
+                        && granted.notice().spared_until(own, now).is_none();
+                    let is_told = leaving.contains(&start)
+                        || spared.get(&start).is_some_and(|end| now < *end);
+                    prop_assert!(!(is_accepted && is_told), "granted start {start} at {now:?}");
+                }
+            }
+            let servers = listing.get(&name()).map(|listed| Arc::clone(&listed.server));
+            pool.update(servers.into_iter().collect(), u32::MAX);
+            let criteria = Criteria { sender: Some(own), ..Criteria::default() };
+            if let Some(server) = pool.try_acquire_for(&criteria, now) {
+                let start = server.identity.incarnation;
+                prop_assert!(!leaving.contains(&start), "start {start} has said that it leaves");
+                let end = spared.get(&start).copied().unwrap_or(at(0));
+                prop_assert!(now >= end, "start {start} is to be spared until {end:?}");
+                sent.push(server);
+            }
+        }
+    }
+}
