Let requests wait on when servers change after a time asked is over

A change of the servers hands out free slots at the origin of the clock, so that no waiter counts as having waited. There a time that a server asked for and that ended long since looks as if it lay ahead: after a whole service had asked for time, each change of its servers refused all requests in the queue, and those that waited for a single server lost it.

At the origin a waiter whose host was ever asked stays in its queue, until the next released slot or the timer; the server's slot goes back. `requests_wait_on_while_the_servers_change_once_the_time_asked_is_over` failed before with both waiters refused. Tests of the pool, the queues, and of the platform (gateway, loans, homes, retry_after, leaving_header) pass.

--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -439,7 +439,9 @@
             let granted = queued.waiter.grant(server);
             return granted.map_err(|server| Returned { server, is_spared: false });
         }
-        if self.servers().iter().any(|server| criteria.may_wait_for(server, now)) {
+        // At the origin of the clock, times that have ended long since look as if they lay ahead.
+        let may_wait = |server: &Arc<Server>| criteria.may_wait_for(server, now);
+        if now == Instant::ZERO || self.servers().iter().any(may_wait) {
             self.queues[usize::from(queued.rank.0)].push(queued);
         } else {
             queued.waiter.refuse();
--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -55,6 +55,14 @@
     }
 }
 
+/// The next waiter of a server's queue.
+enum Next<W> {
+    Waiter(QueuedWaiter<W>),
+    Empty,
+    /// Whether the next one may have the slot is not known at the origin of the clock.
+    Undecided,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub enum Placement {
@@ -157,14 +165,19 @@
             return self.refuse_all(queue);
         }
         while !queue.is_empty() && self.try_acquire_slot(server, None, now) {
-            let granted = match self.pop_server_queue(server, queue, now) {
-                Some(queued) => queued.waiter.grant(Arc::clone(server)),
-                None => Err(Arc::clone(server)),
+            let queued = self.pop_server_queue(server, queue, now);
+            let is_undecided = matches!(queued, Next::Undecided);
+            let is_granted = match queued {
+                Next::Waiter(queued) => queued.waiter.grant(Arc::clone(server)).is_ok(),
+                Next::Empty | Next::Undecided => false,
             };
-            if granted.is_err() {
+            if !is_granted {
                 server.release_slot();
                 self.limiter().release();
             }
+            if is_undecided {
+                return;
+            }
         }
     }
 
@@ -194,18 +207,19 @@
         self.returned_slots.fetch_add(1, Ordering::Relaxed).is_multiple_of(SHARED_QUEUE_INTERVAL)
     }
 
-    fn pop_server_queue(
-        &self,
-        server: &Server,
-        queue: &ServerQueue<W>,
-        now: Instant,
-    ) -> Option<QueuedWaiter<W>> {
+    fn pop_server_queue(&self, server: &Server, queue: &ServerQueue<W>, now: Instant) -> Next<W> {
         loop {
-            let queued = queue.pop()?;
+            let Some(queued) = queue.pop() else { return Next::Empty };
             self.in_server_queues.fetch_sub(1, Ordering::SeqCst);
             let sender = queued.waiter.sender();
             if !queued.has_waited_over(100, now) && server.notice().try_pass(sender, now) {
-                return Some(queued);
+                return Next::Waiter(queued);
+            }
+            if now == Instant::ZERO {
+                // Times that have ended long since look as if they lay ahead.
+                self.in_server_queues.fetch_add(1, Ordering::SeqCst);
+                queue.queue_for(queued.rank).push(queued);
+                return Next::Undecided;
             }
             queued.waiter.refuse();
         }
--- a/crates/oleanderspan/tests/notice.rs
+++ b/crates/oleanderspan/tests/notice.rs
@@ -298,6 +298,32 @@
     assert_eq!(servers[1].in_flight(), 0);
 }
 
+/// A change of the servers refused all waiters whose host had been asked for time long before.
+#[test]
+fn requests_wait_on_while_the_servers_change_once_the_time_asked_is_over() {
+    let (pool, servers) = busy_pool();
+    let own = sender("host-1");
+    for server in &servers {
+        server.notice().spare(&server.identity, own, seconds(1), at(0));
+    }
+    let ticket = || HostTicket(Ticket::default(), own);
+    let (common, single) = (ticket(), ticket());
+    let criteria = Criteria { sender: Some(own), ..Criteria::default() };
+    pool.enqueue_ranked(common.clone(), Rank::default(), criteria, seconds(10), at(9_000));
+    pool.enqueue_for_server(single.clone(), &servers[0], Rank::default(), seconds(10), at(9_000));
+    let joined = {
+        let identity = Identity { name: Name::try_from("server-3").unwrap(), incarnation: 1 };
+        let server = Server::new(identity, "127.0.0.1:3".parse().unwrap(), LOCATION, 1);
+        server.notice().spare(&server.identity, own, seconds(1), at(0));
+        Arc::new(server)
+    };
+    servers[0].release_slot();
+    pool.update([servers.clone(), vec![joined]].concat(), u32::MAX);
+    assert_eq!((common.0.0.get(), single.0.0.get()), (None, None));
+    pool.serve_waiting(at(9_010));
+    assert_eq!((common.0.0.get(), single.0.0.get()), (Some(true), Some(true)));
+}
+
 proptest! {
     /// Whatever entries, removals, restarts, answers and grants come in whatever order, no request of
     /// a host is placed on, or accepted for, a start that has told it that it is leaving or for how
