--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod lending;
 pub mod message;
 pub mod names;
+pub mod notice;
 pub mod objects;
 pub mod page;
 pub mod peers;
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -17,6 +17,7 @@
     gateway::{
         front,
         grant::{self, Grant, Requirements},
+        notice,
         slots::AcquireError,
         state::Shared,
     },
@@ -35,6 +36,9 @@
 /// run.
 const MAX_RETRIES: u32 = 3;
 
+/// Maximum number of slots that one attempt acquires before it finds a server that wants it.
+const MAX_GRANTS: u32 = 4;
+
 /// How much later than the server's deadline this host stops waiting, so that an answer that the
 /// server sends at its deadline still arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
@@ -175,13 +179,9 @@
 ) -> Result<Answer, Failure> {
     let mut routing = Routing::latest(state, call, outbound.head());
     let (requirements, grant, server) = loop {
-        let requirements = requirements(state, call, &routing.route, excluded.clone())
+        let mut requirements = requirements(state, call, &routing.route, excluded.clone())
             .ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
-        let grant = grant::acquire(state, &requirements).await.map_err(
-            |AcquireError { refusal, retry_after }| Failure::unsent(refusal, retry_after),
-        )?;
-        let server = grant.server().cloned();
-        let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+        let (grant, server) = acquire_open(state, &mut requirements).await?;
         let latest = Routing::latest(state, call, outbound.head());
         if is_in_homes(state, &latest.route, &server) {
             break (requirements, grant, server);
@@ -272,10 +272,43 @@
         region,
         priority: call.route.priority,
         time,
-        criteria: Criteria { object: call.object, excluded, region: region_bound },
+        criteria: Criteria {
+            object: call.object,
+            excluded,
+            region: region_bound,
+            sender: Some(state.sender),
+        },
     })
 }
 
+/// Acquires a slot of a server that has not said meanwhile that it wants no requests: this one may
+/// have waited between the grant of its slot and now.
+async fn acquire_open(
+    state: &Shared,
+    requirements: &mut Requirements<'_>,
+) -> Result<(Grant, Arc<Server>), Failure> {
+    for _ in 0..MAX_GRANTS {
+        let asked_at = state.clock.now();
+        let grant = grant::acquire(state, requirements).await;
+        let grant = grant.map_err(|AcquireError { refusal, retry_after }| {
+            Failure::unsent(refusal, retry_after)
+        })?;
+        let server = grant.server().cloned();
+        let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+        let spared_until = server.notice().spared_until(state.sender, state.clock.now());
+        if !server.is_leaving() && spared_until.is_none() {
+            return Ok((grant, server));
+        }
+        info!(state.log, "server wants no more requests since its slot was granted; returning it";
+            "request" => requirements.id, "server" => %server.identity.name,
+            "leaving" => server.is_leaving());
+        state.returned_grants.fetch_add(1, Ordering::Relaxed);
+        let waited = state.clock.now().since(asked_at);
+        requirements.time = requirements.time.after(waited);
+    }
+    Err(Failure::unsent(Refusal::NoServer, None))
+}
+
 /// Whether a route may be served by this server. Checked again right before a request is sent, as
 /// other hosts may disagree about the region of a server.
 fn is_in_homes(state: &Shared, route: &Route, server: &Server) -> bool {
@@ -341,6 +374,7 @@
     if id != Some(call.id) && !(id.is_none() && is_refusal) {
         return Err(broken);
     }
+    notice::observe(state, call, server, &head);
     if is_refusal || head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err((Refusal::Shed, Outcome::NotRun));
     }
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -2,6 +2,8 @@
 //! slots of a service, so that its counts are exact. The other hosts request slots from it and send
 //! the requests to the server themselves.
 
+use std::sync::atomic::Ordering;
+
 use http::{HeaderMap, StatusCode, header};
 use hyper::body::Incoming;
 use oleanderspan::{
@@ -131,18 +133,13 @@
             Err(Failure::Rejected(error)) => return Err(error),
             // Hosts learn of server changes at slightly different times. Dropping the response
             // releases the slot, and the next slot request reports the server to the arbiter.
-            Err(Failure::Unusable(server)) => {
+            Err(Failure::Unusable { server, why }) => {
                 info!(state.log, "arbiter granted a server that is unusable here; excluding it";
                     "request" => requirements.id, "server" => %server.name,
-                    "host" => %peer.name);
-                state.reports.push(ServerReport {
-                    service: requirements.service.to_string(),
-                    server: server.name.to_string(),
-                    incarnation: Some(server.incarnation),
-                    latency_us: None,
-                    reuse_distance: None,
-                    is_unusable: true,
-                });
+                    "host" => %peer.name, "why" => ?why);
+                let has_said = u64::from(why != Unusable::Gone);
+                state.returned_grants.fetch_add(has_said, Ordering::Relaxed);
+                report(state, unusable_report(requirements.service, &server, why));
                 criteria.excluded = Some(server.name);
             }
             Err(Failure::OutsideRegion(server)) => {
@@ -161,12 +158,25 @@
     Err(AcquireError { refusal: Refusal::NotReady, retry_after: Refusal::NotReady.retry_after() })
 }
 
+/// Why a granted server is not sent the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unusable {
+    /// It is leaving, gone or evacuated.
+    Gone,
+    /// It has said itself that it is leaving.
+    Leaving,
+    /// It has asked this host to send it nothing for so long.
+    Spared(Duration),
+}
+
 /// Why a slot request failed.
 #[derive(Debug)]
 enum Failure {
     Rejected(AcquireError),
-    /// The server is leaving, gone or evacuated.
-    Unusable(Identity),
+    Unusable {
+        server: Identity,
+        why: Unusable,
+    },
     /// The server is not in the only region that may run the request.
     OutsideRegion(backend::Name),
     NoAnswer(String),
@@ -191,6 +201,7 @@
         object: criteria.object.map(Object::hash),
         excluded: criteria.excluded.as_ref().map(|name| name.to_string()),
         is_bound: criteria.region.is_some(),
+        host: Some(state.settings.host.to_string()),
         reports,
     };
     let request = message::request(peer.address, SLOT_PATH, &message).map_err(no_answer)?;
@@ -209,21 +220,32 @@
     let granted_server = granted_server(answer.headers(), &state.settings.topology)
         .ok_or_else(|| no_answer("the response has no valid server headers"))?;
     // The arbiter may have learned first of a new server, or of a new start under the same name.
-    let granted = &granted_server.identity;
+    let granted = granted_server.identity.clone();
     let known = state.snapshot().server(&granted.name).cloned();
     let known = known.filter(|known| known.identity.incarnation >= granted.incarnation);
-    let is_unusable = match &known {
-        Some(known) => known.identity != *granted || !is_usable(known),
+    let (server, is_unusable) = match known {
+        Some(known) => {
+            let is_unusable = known.identity != granted || !is_usable(&known);
+            (known, is_unusable)
+        }
         None => {
             let view = state.view();
-            view.listing.was_removed(granted)
-                || view.evacuations.contains(granted_server.location.zone)
+            let notice = view.listing.notice_of(&granted).unwrap_or_default();
+            let is_unusable = notice.is_leaving()
+                || view.listing.was_removed(&granted)
+                || view.evacuations.contains(granted_server.location.zone);
+            (Arc::new(granted_server.with_notice(notice)), is_unusable)
         }
     };
-    if is_unusable {
-        return Err(Failure::Unusable(granted_server.identity));
+    let now = state.clock.now();
+    let why = match server.notice().spared_until(state.sender, now) {
+        _ if server.identity == granted && server.notice().is_leaving() => Some(Unusable::Leaving),
+        _ if is_unusable => Some(Unusable::Gone),
+        ends => ends.map(|ends| Unusable::Spared(ends.since(now))),
+    };
+    if let Some(why) = why {
+        return Err(Failure::Unusable { server: granted, why });
     }
-    let server = known.unwrap_or_else(|| Arc::new(granted_server));
     if !criteria.allows_region_of(&server) {
         return Err(Failure::OutsideRegion(server.identity.name.clone()));
     }
@@ -277,18 +299,55 @@
         slots::record_outcome(pool, server, grant.reuse_distance(), latency);
     }
     if matches!(grant, Grant::Remote { .. }) {
-        if state.reports.len() >= MAX_PENDING_REPORTS {
-            state.reports.pop();
-        }
-        state.reports.push(ServerReport {
-            service: requirements.service.to_string(),
-            server: server.identity.name.to_string(),
-            incarnation: Some(server.identity.incarnation),
-            latency_us: latency
-                .map(|latency| u64::try_from(latency.as_micros()).unwrap_or(u64::MAX)),
-            reuse_distance: grant.reuse_distance().map(ReuseDistance::number),
-            is_unusable: false,
-        });
+        report(
+            state,
+            ServerReport {
+                service: requirements.service.to_string(),
+                server: server.identity.name.to_string(),
+                incarnation: Some(server.identity.incarnation),
+                latency_us: latency
+                    .map(|latency| u64::try_from(latency.as_micros()).unwrap_or(u64::MAX)),
+                reuse_distance: grant.reuse_distance().map(ReuseDistance::number),
+                is_unusable: false,
+                is_leaving: false,
+                spare_ms: None,
+            },
+        );
+    }
+}
+
+/// Queues a report for the next slot request.
+pub fn report(state: &Shared, report: ServerReport) {
+    if state.reports.len() >= MAX_PENDING_REPORTS {
+        state.reports.pop();
+    }
+    state.reports.push(report);
+}
+
+/// The report on a server that says that it is leaving.
+pub fn leaving_report(service: &service::Name, server: &Server) -> ServerReport {
+    unusable_report(service, &server.identity, Unusable::Leaving)
+}
+
+/// The report on a server that this host is to send nothing for so long.
+pub fn spare_report(service: &service::Name, server: &Identity, spared: Duration) -> ServerReport {
+    unusable_report(service, server, Unusable::Spared(spared))
+}
+
+fn unusable_report(service: &service::Name, server: &Identity, why: Unusable) -> ServerReport {
+    let spare_ms = match why {
+        Unusable::Spared(spared) => Some(millis(spared)),
+        Unusable::Gone | Unusable::Leaving => None,
+    };
+    ServerReport {
+        service: service.to_string(),
+        server: server.name.to_string(),
+        incarnation: Some(server.incarnation),
+        latency_us: None,
+        reuse_distance: None,
+        is_unusable: spare_ms.is_none(),
+        is_leaving: why == Unusable::Leaving,
+        spare_ms,
     }
 }
 
--- a/crates/node/src/gateway/names.rs
+++ b/crates/node/src/gateway/names.rs
@@ -17,4 +17,8 @@
     pub target_server: HeaderName,
     /// Present if the server rejected the request without running it.
     pub not_run: HeaderName,
+    /// With the value `1`: the server is leaving.
+    pub server_leaving: HeaderName,
+    /// With 503: for how many seconds the server wants nothing from this host.
+    pub spare_s: HeaderName,
 }
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use crossbeam_queue::SegQueue;
 use oleanderspan::{
     availability::{self, Evacuations},
-    backend::{self, Listing, Pool, Server, listing::ListedServer, pool::OverloadPolicy},
+    backend::{self, Listing, Pool, Sender, Server, listing::ListedServer, pool::OverloadPolicy},
     entry::{
         self, Roster, rank,
         roster::{self, Peer},
@@ -78,6 +78,14 @@
     pub unlisted_at: watch::Sender<Option<entry::Version>>,
     /// Number of slots granted outside the home regions of their request's route.
     pub outside_homes: AtomicU64,
+    /// What stands for this host where servers ask hosts to spare them.
+    pub sender: Sender,
+    /// Number of answers by which servers asked this host to spare them.
+    pub spares: AtomicU64,
+    /// Number of starts of servers that said in an answer, to this host or another, that they leave.
+    pub said_leaving: AtomicU64,
+    /// Number of granted slots that were given back because of what the server had said meanwhile.
+    pub returned_grants: AtomicU64,
     /// Number of lookups of hosts by clients of other regions.
     pub foreign_lookups: AtomicU64,
     /// Observations about servers whose slots other hosts hand out, to be sent to these hosts.
@@ -139,6 +147,7 @@
             keepalive_interval,
             ..Default::default()
         };
+        let sender = Sender::from(&settings.host);
         let single_use = client::Options { idle_timeout: Duration::ZERO, ..pooled };
         State(Arc::new(Shared {
             settings,
@@ -152,6 +161,10 @@
             stop: Stop::default(),
             unlisted_at: watch::Sender::default(),
             outside_homes: AtomicU64::new(0),
+            sender,
+            spares: AtomicU64::new(0),
+            said_leaving: AtomicU64::new(0),
+            returned_grants: AtomicU64::new(0),
             foreign_lookups: AtomicU64::new(0),
             reports: SegQueue::new(),
             feeds: std::array::from_fn(|_| Feed::default()),
@@ -433,5 +446,5 @@
 
 /// Whether a server may receive requests: it is neither leaving nor evacuated.
 pub fn is_usable(server: &Server) -> bool {
-    !server.is_leaving() && !server.is_evacuated()
+    server.accepts_requests()
 }
--- a/crates/oleanderspan/src/backend/pool/locality.rs
+++ b/crates/oleanderspan/src/backend/pool/locality.rs
@@ -55,6 +55,14 @@
     }
 }
 
+/// The next waiter of a server's queue.
+enum Next<W> {
+    Waiter(QueuedWaiter<W>),
+    Empty,
+    /// Whether the next one may have the slot is not known at the origin of the clock.
+    Undecided,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub enum Placement {
@@ -84,7 +92,7 @@
         };
         let free = caching().filter(|(server, queue)| server.free() > 0 && queue.is_empty());
         if let Some((server, _)) = free.max_by_key(|(server, _)| server.free())
-            && self.try_acquire_slot(server, now)
+            && self.try_acquire_slot(server, criteria.sender, now)
         {
             return Placement::Taken(Arc::clone(server));
         }
@@ -134,7 +142,7 @@
         criteria: &Criteria,
         now: Instant,
     ) -> bool {
-        criteria.allows(server)
+        criteria.allows(server, now)
             && self.cache_model.is_cached(server.reuse_distance(object))
             && self.is_responsive(server)
             && takes_requests(server, now)
@@ -152,15 +160,24 @@
         queue: &ServerQueue<W>,
         now: Instant,
     ) {
-        while !queue.is_empty() && self.try_acquire_slot(server, now) {
-            let granted = match self.pop_server_queue(queue, now) {
-                Some(queued) => queued.waiter.grant(Arc::clone(server)),
-                None => Err(Arc::clone(server)),
+        if !queue.is_empty() && !server.accepts_requests() {
+            // They would wait in vain; the callers choose another server.
+            return self.refuse_all(queue);
+        }
+        while !queue.is_empty() && self.try_acquire_slot(server, None, now) {
+            let queued = self.pop_server_queue(server, queue, now);
+            let is_undecided = matches!(queued, Next::Undecided);
+            let is_granted = match queued {
+                Next::Waiter(queued) => queued.waiter.grant(Arc::clone(server)).is_ok(),
+                Next::Empty | Next::Undecided => false,
             };
-            if granted.is_err() {
+            if !is_granted {
                 server.release_slot();
                 self.limiter().release();
             }
+            if is_undecided {
+                return;
+            }
         }
     }
 
@@ -190,12 +207,19 @@
         self.returned_slots.fetch_add(1, Ordering::Relaxed).is_multiple_of(SHARED_QUEUE_INTERVAL)
     }
 
-    fn pop_server_queue(&self, queue: &ServerQueue<W>, now: Instant) -> Option<QueuedWaiter<W>> {
+    fn pop_server_queue(&self, server: &Server, queue: &ServerQueue<W>, now: Instant) -> Next<W> {
         loop {
-            let queued = queue.pop()?;
+            let Some(queued) = queue.pop() else { return Next::Empty };
             self.in_server_queues.fetch_sub(1, Ordering::SeqCst);
-            if !queued.has_waited_over(100, now) {
-                return Some(queued);
+            let sender = queued.waiter.sender();
+            if !queued.has_waited_over(100, now) && server.notice().try_pass(sender, now) {
+                return Next::Waiter(queued);
+            }
+            if now == Instant::ZERO {
+                // Times that have ended long since look as if they lay ahead.
+                self.in_server_queues.fetch_add(1, Ordering::SeqCst);
+                queue.queue_for(queued.rank).push(queued);
+                return Next::Undecided;
             }
             queued.waiter.refuse();
         }
@@ -207,7 +231,7 @@
         let members = self.members.load();
         for (server, queue) in previous.iter() {
             let is_usable = members.queue_of(server).is_some() && server.own_slots() > 0;
-            if is_usable && !server.is_leaving() && !server.is_evacuated() {
+            if is_usable && server.accepts_requests() {
                 continue;
             }
             self.refuse_all(queue);
@@ -224,6 +248,6 @@
 
 /// Whether a server accepts requests now, free slots aside.
 pub(super) fn takes_requests(server: &Server, now: Instant) -> bool {
-    let is_usable = !server.is_leaving() && !server.is_evacuated() && server.own_slots() > 0;
+    let is_usable = server.accepts_requests() && server.own_slots() > 0;
     is_usable && server.cold().is_open(now) && !server.is_avoided(now)
 }
