Take no refusal of another request for one's own

What callers saw: nothing yet; other operators saw clients told that a request had not run that an instance had run, or such a request run at a second instance, after an instance had written an earlier refusal once more on a kept connection. It can happen here, in two ways:

- A refusal without a request id counted as the request's own on any connection, also on a kept one, where it may be an earlier one.
- A request id that is not visible ASCII counted as none, so that such a refusal counted on the connections of their own too.

A refusal without an id counts only on a connection that carries this one request; there the client library has pooling off, so that no connection can be handed back. Elsewhere the request may have run: it counts towards max_attempts, and 502 promises nothing. Ids are compared byte by byte.

What stays: on a fresh connection a refusal without an id that comes before the request can't be told from that of the request.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -295,11 +295,14 @@
         client::Error::Broken(_) | client::Error::TimedOut => broken,
     })?;
     let (head, body) = answer.into_parts();
-    // A late response to an earlier request on the same connection is discarded. Only a server that
-    // rejects a request may leave out the request ID.
-    let id = names::text(&head.headers, &state.names.request_id);
     let is_refusal = head.headers.contains_key(&state.names.not_run);
-    if id != Some(call.id) && !(id.is_none() && is_refusal) {
+    // A response to an earlier request on the same connection is discarded. Only a server that rejects
+    // a request may leave out its ID, and only on a connection that has no earlier request.
+    let is_own = match head.headers.get(&state.names.request_id) {
+        Some(id) => id.as_bytes() == call.id.as_bytes(),
+        None => is_refusal && call.route.repeat == Repeat::Forbidden,
+    };
+    if !is_own {
         return Err(broken);
     }
     if is_refusal || head.status == StatusCode::MISDIRECTED_REQUEST {
