Change loans without a step for each slot, and add up slots without wrapping

What callers saw: nothing yet; found while odd entries of servers were played. A loan grew and shrank slot by slot, each step over all servers, while the host's view is locked: entries that list the most slots that are accepted would stop everything that follows the store. The plan multiplied in 64 bits, which one entry of nearly 2^32 slots (accepted until they were bounded) was enough to overflow; a release build would wrap.

The server that is chosen for a slot is chosen for the next ones too until it has none left, so that all of them can be taken at once; the result is the same. Products are 128 bits wide.

--- a/crates/oleanderspan/src/region/loan.rs
+++ b/crates/oleanderspan/src/region/loan.rs
@@ -54,10 +54,13 @@
     if regions < 2 || total_slots == 0 {
         return plan;
     }
-    let assumed = total_slots * 1_000 * ASSUMED_LOAD_PERCENT / 100 / regions;
+    let assumed = total_slots.saturating_mul(10 * ASSUMED_LOAD_PERCENT) / regions;
     let required = |report: &CapacityReport| report.needed_milli.unwrap_or(assumed).max(1);
-    let total_required: u64 = known.iter().map(|(_, report)| required(report)).sum();
-    let fair_share = |report: &CapacityReport| total_slots * required(report) / total_required;
+    let total_required: u128 = known.iter().map(|(_, report)| u128::from(required(report))).sum();
+    let fair_share = |report: &CapacityReport| {
+        let share = u128::from(total_slots) * u128::from(required(report)) / total_required;
+        u64::try_from(share).unwrap_or(u64::MAX)
+    };
     let Some((_, own_report)) = known.iter().find(|(i, _)| *i == usize::from(own.0)) else {
         return plan;
     };
@@ -75,8 +78,9 @@
         return plan;
     }
     for (i, report) in &known {
-        let lent = shortage(report).min(total_shortage) * surplus / total_surplus.max(1);
-        plan[*i] = u32::try_from(lent.min(surplus)).unwrap_or(u32::MAX);
+        let lent = u128::from(shortage(report)) * u128::from(surplus);
+        let lent = lent / u128::from(total_surplus.max(1));
+        plan[*i] = u32::try_from(lent.min(surplus.into())).unwrap_or(u32::MAX);
     }
     plan
 }
@@ -87,9 +91,10 @@
     required: impl Fn(&CapacityReport) -> u64,
 ) -> bool {
     // Compares required / slots of both regions without a division.
-    let left = required(report) * u64::from(lender.slots) * 100;
-    let right = required(lender) * u64::from(report.slots) * (100 + MIN_DIFFERENCE_PERCENT);
-    left > right
+    let load = |of: &CapacityReport, other: &CapacityReport, percent: u64| {
+        u128::from(required(of)) * u128::from(other.slots) * u128::from(percent)
+    };
+    load(report, lender, 100) > load(lender, report, 100 + MIN_DIFFERENCE_PERCENT)
 }
 
 /// The time after a host becomes a lender for which it may create loans in a single step: until it
@@ -110,7 +115,7 @@
     if resize_at_once {
         return wanted;
     }
-    let max_change = (slots * MAX_STEP_PERCENT / 100).max(1);
+    let max_change = (slots / 100 * MAX_STEP_PERCENT + slots % 100 * MAX_STEP_PERCENT / 100).max(1);
     wanted.clamp(current.saturating_sub(max_change), current.saturating_add(max_change))
 }
 
@@ -158,25 +163,29 @@
             let Some(name) = slots.iter().min_by_key(|(name, n)| (**n, *name)) else { break };
             let name = name.0.clone();
             if let Some(n) = slots.get_mut(&name) {
-                *n -= 1;
+                // The server with the fewest stays that while it loses more.
+                let recalled = (lent - size).min(*n);
+                *n -= recalled;
+                lent -= recalled;
             }
             slots.retain(|_, n| *n > 0);
-            lent -= 1;
         }
         while lent < size {
-            let Some(name) = self.next_to_lend(region, servers) else { break };
-            *self.lent.entry(region).or_default().entry(name).or_default() += 1;
-            lent += 1;
+            let Some((name, free)) = self.next_to_lend(region, servers) else { break };
+            // The best server stays that while it has a free slot.
+            let added = (size - lent).min(free);
+            *self.lent.entry(region).or_default().entry(name).or_default() += added;
+            lent += added;
         }
     }
 
-    /// Selects the server of the next slot to lend: one that is partly lent already, so that few
+    /// Selects the server of the next slots to lend, with the number of its free ones: one that is partly lent already, so that few
     /// servers handle the objects of two regions. The last server without a loan is never selected.
     fn next_to_lend(
         &self,
         region: region::Index,
         servers: &[(backend::Name, u32)],
-    ) -> Option<backend::Name> {
+    ) -> Option<(backend::Name, u32)> {
         let unlent = servers.iter().filter(|(name, _)| self.lent_from(name) == 0).count();
         let own = |name| self.lent.get(&region).and_then(|slots| slots.get(name)).copied();
         let free = servers.iter().filter(|(name, slots)| {
@@ -187,7 +196,7 @@
             let lent_to_others = self.lent_from(name) - own(name).unwrap_or(0);
             (Reverse(lent_to_others), own(name).unwrap_or(0), Reverse(name))
         });
-        best.map(|(name, _)| name.clone())
+        best.map(|(name, slots)| (name.clone(), slots - self.lent_from(name)))
     }
 }
 
--- a/crates/oleanderspan/tests/loan.rs
+++ b/crates/oleanderspan/tests/loan.rs
@@ -155,3 +155,33 @@
     assert_eq!(loan::next_size(0, 40, 100, true), 40);
     assert_eq!(loan::next_size(0, 40, 100, false), 5);
 }
+
+/// The change of a loan must not hold the other work of a host up, however many slots servers list.
+#[test]
+fn loan_of_very_many_slots_is_changed_at_once() {
+    const SLOTS: u32 = u16::MAX as u32;
+    const SERVERS: u32 = 50;
+    let servers: Vec<(Name, u32)> =
+        (0..SERVERS as usize).map(|i| (server_name(i), SLOTS)).collect();
+    let mut ledger = Ledger::default();
+    let began = std::time::Instant::now();
+    ledger.resize(Index(1), 20 * SLOTS + 7, &servers);
+    assert_eq!(ledger.lent_to(Index(1)), 20 * SLOTS + 7);
+    ledger.resize(Index(1), 3 * SLOTS + 1, &servers);
+    assert_eq!(ledger.lent_to(Index(1)), 3 * SLOTS + 1);
+    ledger.resize(Index(2), u32::MAX, &servers);
+    assert_eq!(ledger.lent_to(Index(2)), (SERVERS - 4) * SLOTS + SLOTS - 1 - SLOTS);
+    let took = began.elapsed();
+    println!("took {took:?}");
+    assert!(took < std::time::Duration::from_millis(500), "{took:?}");
+}
+
+/// Guards against sums that wrap with many servers of very many slots.
+#[test]
+fn plan_for_very_many_slots_lends_what_is_above_the_fair_share() {
+    let all = [report(None, u32::MAX), report(None, 1), report(Some(u64::MAX / 4_000_000), 1_000)];
+    let plan = loan::plan(Index(0), &all);
+    assert!(plan[0] == 0 && plan[2] > 0, "{plan:?}");
+    assert!(plan.iter().map(|lent| u64::from(*lent)).sum::<u64>() <= u64::from(u32::MAX));
+    assert_eq!(loan::next_size(0, u32::MAX, u32::MAX, false), u32::MAX / 20);
+}
