Name no host to clients whose row has port 0

What callers saw: nothing yet. If another writer overwrote the row of a live host with port 0 as the address for clients, the host still answered its peers, and the directory named 127.0.0.1:0 to clients: the test saw it within 2 s. Now the row is rejected with its field, and the host is not named until a right one follows.

--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -462,5 +462,12 @@
 }
 
 fn decode(value: &[u8]) -> Result<message::Host, String> {
-    codec::from_json(value).map_err(|error| error.to_string())
+    let host: message::Host = codec::from_json(value).map_err(|error| error.to_string())?;
+    // Clients are told the address of each host that answers its peers.
+    for (field, address) in [("callers", host.callers), ("peers", host.peers)] {
+        if address.port() == 0 {
+            return Err(format!("{field}: expected a port above 0"));
+        }
+    }
+    Ok(host)
 }
