Decode no deeply nested MessagePack

What callers saw: nothing yet; other operators reported machines that ended again and again after another writer had left a deeply nested value. It can happen here, with the saved objects: a field that this build doesn't know, with arrays or maps in each other, overflowed the stack and ended the process as soon as it gave out slots of the service, and again after each start. Messages between hosts are decoded by the same function.

Evidence: 2 of the 9 odd values of the test ended the process (fatal runtime error: stack overflow, debug build); none now, and the process serves on. The library's own limit is 1,024 levels, too many for the stack of a worker thread in a debug build; a release build was not tried. It is 32 now, above what any message has.

--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -6,6 +6,10 @@
 use oleanderspan::document::Hash;
 use serde::{Serialize, de::DeserializeOwned};
 
+/// Maximum depth of a MessagePack value, above that of all messages and saved values. A deeper one, also in
+/// a field that is not used, would overflow the stack and end the process.
+const MAX_WIRE_DEPTH: usize = 32;
+
 /// Encodes a value as MessagePack with named fields, so that later versions can add fields.
 pub fn to_wire<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
     rmp_serde::to_vec_named(value).map_err(|error| Error::Encode(error.to_string()))
@@ -13,7 +17,9 @@
 
 /// Decodes a value from MessagePack. The error path is empty.
 pub fn from_wire<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
-    rmp_serde::from_slice(bytes)
+    let mut reader = rmp_serde::Deserializer::from_read_ref(bytes);
+    reader.set_max_depth(MAX_WIRE_DEPTH);
+    T::deserialize(&mut reader)
         .map_err(|error| Error::Decode { path: String::new(), reason: error.to_string() })
 }
 
