Use no saved objects with impossible latencies or from the future

What callers saw: nothing yet. Saved latencies near 2^64 microseconds were taken over, with which each request for an object counts as late until hundreds of answers have corrected them; and a time in the future counted as new however far off it was, so that such a row would never have grown too old.

--- a/crates/node/src/gateway/objects.rs
+++ b/crates/node/src/gateway/objects.rs
@@ -24,9 +24,14 @@
 const SAVE_INTERVAL: Duration = Duration::from_millis(4_000);
 
 /// Maximum age of saved state that is still used; older state no longer matches the servers'
-/// caches. The age is measured by wall clocks, which differ by seconds between hosts.
+/// caches. The age is measured by wall clocks, which differ by seconds between hosts; a time that lies
+/// as far in the future is none at all.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
+/// The longest latency of servers that a saved state may have: with a longer one each request would count
+/// as late until hundreds of answers have corrected it.
+const MAX_LATENCY: Duration = Duration::from_secs(60);
+
 /// Progress of loading and saving the state of one service.
 #[derive(Clone, Copy, Debug, Default)]
 struct Progress {
@@ -103,13 +108,20 @@
             return;
         }
     };
-    let age = Duration::from_millis(wall_millis().saturating_sub(stored.at_millis));
+    let age = Duration::from_millis(wall_millis().abs_diff(stored.at_millis));
     if age > MAX_AGE {
         info!(state.log, "saved cache state ignored: too old"; "service" => %service,
             "age_ms" => age.as_millis());
         return;
     }
-    let cache_state = CacheState::from(&stored);
+    let cache_state = match CacheState::try_from(&stored) {
+        Ok(cache_state) => cache_state,
+        Err(reason) => {
+            info!(state.log, "saved cache state ignored: invalid"; "service" => %service,
+                "reason" => reason);
+            return;
+        }
+    };
     let Some(pool) = state.snapshot().pool(service, state.settings.region).map(Arc::clone) else {
         return;
     };
@@ -164,9 +176,11 @@
     }
 }
 
-impl From<&StoredCacheState> for CacheState {
+impl TryFrom<&StoredCacheState> for CacheState {
+    type Error = String;
+
     /// Skips servers whose names are invalid in this version: they cannot be listed either.
-    fn from(stored: &StoredCacheState) -> CacheState {
+    fn try_from(stored: &StoredCacheState) -> Result<CacheState, String> {
         let server = |(name, incarnation, objects): &(String, u64, Vec<u64>)| {
             let name = backend::Name::try_from(name.as_str()).ok()?;
             let identity = Identity { name, incarnation: *incarnation };
@@ -175,7 +189,13 @@
         let latencies = stored
             .latencies_us
             .map(|(known, unknown)| (Duration::from_micros(known), Duration::from_micros(unknown)));
+        if let Some((known, unknown)) = latencies
+            && known.max(unknown) > MAX_LATENCY
+        {
+            let longest = known.max(unknown);
+            return Err(format!("latencies_us: expected up to {MAX_LATENCY:?}, found {longest:?}"));
+        }
         let servers = stored.servers.iter().filter_map(server).collect();
-        CacheState { depth: stored.depth, latencies, servers }
+        Ok(CacheState { depth: stored.depth, latencies, servers })
     }
 }
