--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -6,8 +6,8 @@
 use oleanderspan::document::Hash;
 use serde::{Serialize, de::DeserializeOwned};
 
-/// Maximum depth of a MessagePack value, above that of all messages and saved values. A deeper one, also in
-/// a field that is not used, would overflow the stack and end the process.
+/// Maximum depth of a MessagePack value, above that of all messages and saved values. A deeper one,
+/// also in a field that is not used, would overflow the stack and end the process.
 const MAX_WIRE_DEPTH: usize = 32;
 
 /// Encodes a value as MessagePack with named fields, so that later versions can add fields.
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -90,8 +90,8 @@
         now.since(Instant::from_nanos(self.answered_nanos.load(Ordering::Relaxed)))
     }
 
-    /// Appends the next changes that this host has read from the store, or the answer that there are
-    /// none; it counts until `valid_until`.
+    /// Appends the next changes that this host has read from the store, or the answer that there
+    /// are none; it counts until `valid_until`.
     pub fn push(&self, entry: Entry<Bytes>, valid_until: Instant) {
         self.journal.send_modify(|journal| journal.push(entry, valid_until));
     }
@@ -108,8 +108,8 @@
         self.journal.send_if_modified(Journal::stop);
     }
 
-    /// Waits up to `timeout` for the changes after a version, but no longer than the latest answer of
-    /// the store counts.
+    /// Waits up to `timeout` for the changes after a version, but no longer than the latest answer
+    /// of the store counts.
     async fn next(&self, after: Version, timeout: Duration, clock: Monotonic) -> Next<Bytes> {
         let mut journal = self.journal.subscribe();
         let began = clock.now();
@@ -138,8 +138,8 @@
     }
 }
 
-/// Records that the store, or the host that reads it, has answered this host: it has read the topic up
-/// to `version`, and `latest` is the number of the latest change in the answer, or 0.
+/// Records that the store, or the host that reads it, has answered this host: it has read the topic
+/// up to `version`, and `latest` is the number of the latest change in the answer, or 0.
 ///
 /// A poll for another topic may stay open although the store has started a new era meanwhile, which
 /// this answer shows.
--- a/crates/node/src/gateway/follow.rs
+++ b/crates/node/src/gateway/follow.rs
@@ -1,5 +1,5 @@
-//! Follows a topic of the platform's store: from the store itself, from the host that reads it for the
-//! zone, or from any host that has read a later change.
+//! Follows a topic of the platform's store: from the store itself, from the host that reads it for
+//! the zone, or from any host that has read a later change.
 
 use oleanderspan::{
     entry::{
@@ -246,8 +246,8 @@
         self.state.view().roster.reader(own, self.topic.as_str(), now).cloned()
     }
 
-    /// How long the next poll stays open at the store. In a zone with a shared reader it is short, so
-    /// that the reader can vouch for the store, and the others return to the reader.
+    /// How long the next poll stays open at the store. In a zone with a shared reader it is short,
+    /// so that the reader can vouch for the store, and the others return to the reader.
     fn poll_timeout(&self) -> Duration {
         let settings = &self.state.settings;
         let now = self.state.clock.now();
@@ -259,8 +259,8 @@
         }
     }
 
-    /// Returns whether the store has started a new era since the last answer, with rows missing that
-    /// it had before.
+    /// Returns whether the store has started a new era since the last answer, with rows missing
+    /// that it had before.
     fn record_era(&mut self, version: Version) -> bool {
         let before = self.era.replace(version.era);
         let is_restored = before.is_some_and(|before| before != version.era);
@@ -282,7 +282,8 @@
     }
 }
 
-/// Lets servers that the store does not list stay in use until they have had the time to register again.
+/// Lets servers that the store does not list stay in use until they have had the time to register
+/// again.
 fn accept_missing_servers(state: &State) {
     state.update(|view, now| {
         view.listing.store_recovered(now);
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -251,8 +251,8 @@
     }
 }
 
-/// What a request needs of a slot now, on a route with these home regions. `None` if no region that may
-/// serve it has a server.
+/// What a request needs of a slot now, on a route with these home regions. `None` if no region that
+/// may serve it has a server.
 fn requirements<'a>(
     state: &Shared,
     call: &Call<'a>,
@@ -368,8 +368,8 @@
     })?;
     let (head, body) = answer.into_parts();
     let is_refusal = head.headers.contains_key(&state.names.not_run);
-    // A response to an earlier request on the same connection is discarded. Only a server that rejects
-    // a request may leave out its ID, and only on a connection that has no earlier request.
+    // A response to an earlier request on the same connection is discarded. Only a server that
+    // rejects a request may leave out its ID, and only on a connection that has no earlier request.
     let is_own = match head.headers.get(&state.names.request_id) {
         Some(id) => id.as_bytes() == call.id.as_bytes(),
         None => is_refusal && call.route.repeat == Repeat::Forbidden,
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -48,8 +48,8 @@
     /// Whether the request must stay in the region.
     #[serde(default)]
     pub is_bound: bool,
-    /// Name of the asking host, which servers may have asked to spare them; absent in requests of older
-    /// builds.
+    /// Name of the asking host, which servers may have asked to spare them; absent in requests of
+    /// older builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub host: Option<String>,
     /// Outcomes of earlier requests on servers that the arbiter allocates.
--- a/crates/node/src/gateway/objects.rs
+++ b/crates/node/src/gateway/objects.rs
@@ -24,12 +24,12 @@
 const SAVE_INTERVAL: Duration = Duration::from_millis(4_000);
 
 /// Maximum age of saved state that is still used; older state no longer matches the servers'
-/// caches. The age is measured by wall clocks, which differ by seconds between hosts; a time that lies
-/// as far in the future is none at all.
+/// caches. The age is measured by wall clocks, which differ by seconds between hosts; a time that
+/// lies as far in the future is none at all.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
-/// The longest latency of servers that a saved state may have: with a longer one each request would count
-/// as late until hundreds of answers have corrected it.
+/// The longest latency of servers that a saved state may have: with a longer one each request would
+/// count as late until hundreds of answers have corrected it.
 const MAX_LATENCY: Duration = Duration::from_secs(60);
 
 /// Progress of loading and saving the state of one service.
--- a/crates/node/src/gateway/slots.rs
+++ b/crates/node/src/gateway/slots.rs
@@ -134,8 +134,8 @@
     }
 }
 
-/// The error for a request whose host is to spare all servers that could run it, with the shortest of
-/// the times; `None` if one of them is not to be spared, or there is none.
+/// The error for a request whose host is to spare all servers that could run it, with the shortest
+/// of the times; `None` if one of them is not to be spared, or there is none.
 fn all_spared(
     pool: &Pool<QueuedRequest>,
     clock: Monotonic,
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -35,15 +35,15 @@
 const URGENT_FEED_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How often the store must show a host that reads urgent changes for others that it still answers.
-/// The others learn of a change within two seconds although the store has fallen silent to that host;
-/// a shorter interval costs calls of the store.
+/// The others learn of a change within two seconds although the store has fallen silent to that
+/// host; a shorter interval costs calls of the store.
 const URGENT_CONFIRMATION_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// How much later than expected an answer of the store may come: a slow one takes some 350 ms.
 const CONFIRMATION_MARGIN: Duration = Duration::from_millis(400);
 
-/// How much later than another host this one may receive a change, beside the time for which changes
-/// are gathered: twice a round trip between regions, and the answer of a slow store.
+/// How much later than another host this one may receive a change, beside the time for which
+/// changes are gathered: twice a round trip between regions, and the answer of a slow store.
 const MAX_LAG: Duration = Duration::from_millis(600);
 
 /// How long a long poll for changes that are not urgent stays open at the host that reads them.
@@ -183,8 +183,8 @@
     /// the changes from the version of the first page.
     fn list(&self, topic: Topic) -> impl Future<Output = Result<Vec<Page>, Error>> + Send;
 
-    /// Waits up to `wait` for rows whose latest change has a number above `after`. The page is empty
-    /// if there are none. If its era is not the one of that number, changes may be missing.
+    /// Waits up to `wait` for rows whose latest change has a number above `after`. The page is
+    /// empty if there are none. If its era is not the one of that number, changes may be missing.
     fn follow(
         &self,
         topic: Topic,
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -82,7 +82,8 @@
     pub sender: Sender,
     /// Number of answers by which servers asked this host to spare them.
     pub spares: AtomicU64,
-    /// Number of starts of servers that said in an answer, to this host or another, that they leave.
+    /// Number of starts of servers that said in an answer, to this host or another, that they
+    /// leave.
     pub said_leaving: AtomicU64,
     /// Number of granted slots that were given back because of what the server had said meanwhile.
     pub returned_grants: AtomicU64,
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -31,7 +31,8 @@
     follow(&state, &source, Topic::Operator, apply_operator).await;
 }
 
-/// Follows the backend servers, and drops removed ones, and lost evacuations, after their grace period.
+/// Follows the backend servers, and drops removed ones, and lost evacuations, after their grace
+/// period.
 pub async fn servers<S: Source>(state: State, source: S) {
     let expiry = state.clone();
     let expire = async {
@@ -109,7 +110,8 @@
     });
 }
 
-/// The home regions of the routes that have any, for logs: `ROUTE=REGION+REGION`, separated by commas.
+/// The home regions of the routes that have any, for logs: `ROUTE=REGION+REGION`, separated by
+/// commas.
 fn homes(table: &Table) -> String {
     let homes = |route: &Arc<Route>| {
         let regions: Vec<&str> = route.homes.iter().map(|region| region.as_str()).collect();
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -59,8 +59,8 @@
     /// A connection is closed if sent bytes stay unacknowledged for three intervals, or an HTTP/2
     /// ping for one. `None` disables the probes.
     pub keepalive_interval: Option<Duration>,
-    /// Limit on the size of a response head, in bytes (HTTP/1.1); at least 8 KiB. A longer one is an
-    /// error. Bodies are read in pieces up to this size.
+    /// Limit on the size of a response head, in bytes (HTTP/1.1); at least 8 KiB. A longer one is
+    /// an error. Bodies are read in pieces up to this size.
     pub max_head_bytes: usize,
 }
 
--- a/crates/oleanderspan/src/backend/listing.rs
+++ b/crates/oleanderspan/src/backend/listing.rs
@@ -80,8 +80,8 @@
 #[derive(Debug, Default)]
 pub struct Listing {
     servers: Map<backend::Name, ListedServer>,
-    /// The removed servers, so that neither grants of hosts that have not seen the removal nor entries
-    /// from an older copy of the store are used.
+    /// The removed servers, so that neither grants of hosts that have not seen the removal nor
+    /// entries from an older copy of the store are used.
     removed: Map<backend::Name, Removed>,
     /// What starts of servers have said in their answers, also of those that are not listed now.
     notices: Notices,
@@ -114,8 +114,8 @@
             }
         }
         if let Some(removed) = self.removed.get(name) {
-            // Only a later heartbeat shows that the server lives: the store may have come back from a
-            // copy that is older than the removal.
+            // Only a later heartbeat shows that the server lives: the store may have come back from
+            // a copy that is older than the removal.
             if (entry.born_millis, entry.sequence) <= (removed.born_millis, removed.sequence) {
                 return Change::None;
             }
@@ -132,8 +132,8 @@
                 entry.is_leaving |= previous.entry.is_leaving;
                 warm_at = warm_at.max(previous.warm_at);
             }
-            // Requests use it until the next snapshot. They must not be sent to a former address or to
-            // another region, but one whose slots have changed is still there.
+            // Requests use it until the next snapshot. They must not be sent to a former address or
+            // to another region, but one whose slots have changed is still there.
             let same_place = previous.entry.address == entry.address
                 && previous.entry.location == entry.location;
             if !same_start || !same_place || entry.is_leaving {
@@ -205,8 +205,8 @@
         listed.map(|server| server.notice()).or_else(|| self.notices.get(identity)).map(Arc::clone)
     }
 
-    /// Keeps what this start of a server says, in case that its entry is removed and returns. Returns
-    /// the notice that other states of the start share.
+    /// Keeps what this start of a server says, in case that its entry is removed and returns.
+    /// Returns the notice that other states of the start share.
     pub fn keep_notice(&mut self, identity: &Identity, notice: &Arc<Notice>) -> Arc<Notice> {
         let shared = self.notice_of(identity).unwrap_or_else(|| Arc::clone(notice));
         self.notices.keep(identity, &shared)
--- a/crates/oleanderspan/src/backend/notice.rs
+++ b/crates/oleanderspan/src/backend/notice.rs
@@ -17,8 +17,8 @@
 /// listed server holds its own notice.
 const MAX_KEPT: usize = 4_096;
 
-/// The longest time for which a server may ask to be spared. A longer one is cut to it, as the sender
-/// would not notice in good time that the server wants requests again.
+/// The longest time for which a server may ask to be spared. A longer one is cut to it, as the
+/// sender would not notice in good time that the server wants requests again.
 pub const MAX_SPARE: Duration = Duration::from_secs(60);
 
 /// The ends of the times that a server asked of several hosts are moved by up to this, each by its
@@ -31,8 +31,8 @@
 /// The interval between requests to one server of all hosts that return to it.
 const RETURN_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Number of hosts that one server may ask to spare it. Each of them checks for itself whether it is
-/// to spare the server, so that one dropped here costs only a slot given out in vain.
+/// Number of hosts that one server may ask to spare it. Each of them checks for itself whether it
+/// is to spare the server, so that one dropped here costs only a slot given out in vain.
 const MAX_SPARING_HOSTS: usize = 128;
 
 /// The value of [`Notice::special_until`] once the server has said that it is leaving.
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -46,8 +46,8 @@
 /// Resolution at which eviction ages are compared.
 const EVICTION_AGE_STEP: Duration = Duration::from_millis(500);
 
-/// Number of waiters whose host spares the server of a free slot after which the queue is left alone
-/// until the next release or the next call by the timer.
+/// Number of waiters whose host spares the server of a free slot after which the queue is left
+/// alone until the next release or the next call by the timer.
 const MAX_SPARED_TRIES: u32 = 16;
 
 /// How the queue behaves under overload.
@@ -411,8 +411,8 @@
         }
     }
 
-    /// Hands a taken slot, or a free one that suits the waiter better, to a waiter. Returns the slot
-    /// if the waiter cannot use it or no longer waits.
+    /// Hands a taken slot, or a free one that suits the waiter better, to a waiter. Returns the
+    /// slot if the waiter cannot use it or no longer waits.
     fn grant(
         &self,
         queued: QueuedWaiter<W>,
@@ -449,8 +449,8 @@
         Err(Returned { server, is_spared: true })
     }
 
-    /// Takes the next waiter that can use a free slot. From the onset of overload until the queue has
-    /// been empty, refuses waiters that were not queued recently.
+    /// Takes the next waiter that can use a free slot. From the onset of overload until the queue
+    /// has been empty, refuses waiters that were not queued recently.
     ///
     /// Otherwise an overload would leave a queue in which every request waits almost as long as its
     /// limit, and which persists long after the overload; see `docs/MEASURES.md`, "Overload".
--- a/crates/oleanderspan/src/entry/journal.rs
+++ b/crates/oleanderspan/src/entry/journal.rs
@@ -55,8 +55,8 @@
 }
 
 impl<P: Clone> Journal<P> {
-    /// Appends the next changes from the store, or the answer that there are none. A gap in versions
-    /// discards the earlier entries.
+    /// Appends the next changes from the store, or the answer that there are none. A gap in
+    /// versions discards the earlier entries.
     pub fn push(&mut self, entry: Entry<P>, valid_until: Instant) {
         if !self.is_active || self.version != entry.after {
             self.entries.clear();
--- a/crates/oleanderspan/src/entry/lag.rs
+++ b/crates/oleanderspan/src/entry/lag.rs
@@ -31,8 +31,9 @@
     pub retries: u32,
 }
 
-/// The longest time between two retries. It doubles up to this with each of them, so that the answer of a
-/// slow store still arrives; a store that was silent answers soon after it has come back.
+/// The longest time between two retries. It doubles up to this with each of them, so that the
+/// answer of a slow store still arrives; a store that was silent answers soon after it has come
+/// back.
 const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(2_000);
 
 /// The time between two retries has reached its limit after so many.
@@ -47,8 +48,8 @@
 }
 
 impl Lag {
-    /// Records that this host has read the topic up to `position`; `latest` is the latest change that
-    /// it has read, or zero if there was none.
+    /// Records that this host has read the topic up to `position`; `latest` is the latest change
+    /// that it has read, or zero if there was none.
     pub fn advance(&mut self, position: Version, latest: Version) {
         self.position = Some(position);
         self.latest = self.latest.max(latest);
--- a/crates/oleanderspan/src/entry/version.rs
+++ b/crates/oleanderspan/src/entry/version.rs
@@ -4,8 +4,8 @@
     /// A position in the history of the store.
     ///
     /// A store that comes back from an older copy starts a new era: it gives out numbers again that
-    /// it has given out before, for other changes. Any position of a later era is the later one, but
-    /// changes can be followed within one era only.
+    /// it has given out before, for other changes. Any position of a later era is the later one,
+    /// but changes can be followed within one era only.
     #[derive(Default)]
     pub struct Version {
         /// How often the store has come back from an older copy.
--- a/crates/oleanderspan/src/region/loan.rs
+++ b/crates/oleanderspan/src/region/loan.rs
@@ -179,8 +179,9 @@
         }
     }
 
-    /// Selects the server of the next slots to lend, with the number of its free ones: one that is partly lent already, so that few
-    /// servers handle the objects of two regions. The last server without a loan is never selected.
+    /// Selects the server of the next slots to lend, with the number of its free ones: one that is
+    /// partly lent already, so that few servers handle the objects of two regions. The last server
+    /// without a loan is never selected.
     fn next_to_lend(
         &self,
         region: region::Index,
--- a/crates/oleanderspan/src/request/admission.rs
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -144,7 +144,8 @@
 }
 
 /// How long a client should wait if all servers of its request are to be spared for at least
-/// `shortest`: no less than that, and up to a quarter more, so that clients do not all come back at once.
+/// `shortest`: no less than that, and up to a quarter more, so that clients do not all come back at
+/// once.
 pub fn spread_return(shortest: Duration, random: &mut impl Random) -> Duration {
     const STEPS: usize = 1_000;
     let part = u32::try_from(random.below(STEPS)).unwrap_or(0);
--- a/crates/oleanderspan/src/request/retry.rs
+++ b/crates/oleanderspan/src/request/retry.rs
@@ -41,8 +41,8 @@
         Budget { share, max_credit: AtomicI64::new(max_credit), credit: AtomicI64::new(credit) }
     }
 
-    /// Sets the limit of extra attempts after the number of hosts that share the budget has changed.
-    /// Credit above it is lost, credit below it is kept.
+    /// Sets the limit of extra attempts after the number of hosts that share the budget has
+    /// changed. Credit above it is lost, credit below it is kept.
     pub fn set_capacity(&self, capacity: u32) {
         let max_credit = i64::from(capacity) * CREDIT_PER_ATTEMPT;
         self.max_credit.store(max_credit, Ordering::Relaxed);
