--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -143,8 +143,9 @@
             info!(self.0.log, "server said to another host that it is leaving; allocating none of \
                 its slots"; "server" => &report.server, "incarnation" => report.incarnation);
         }
-        if let (Some(spare_ms), Some(sender), Some(server)) = (report.spare_ms, sender, server) {
-            notice::record_spare(&self.0, server, sender, Duration::from_millis(spare_ms));
+        if let (Some(backoff_ms), Some(sender), Some(server)) = (report.backoff_ms, sender, server)
+        {
+            notice::record_backoff(&self.0, server, sender, Duration::from_millis(backoff_ms));
             return;
         }
         if let (true, Some(server)) = (report.is_unusable, server) {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -295,8 +295,8 @@
         })?;
         let server = grant.server().cloned();
         let server = server.ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
-        let spared_until = server.notice().spared_until(state.sender, state.clock.now());
-        if !server.is_leaving() && spared_until.is_none() {
+        let backoff_until = server.notice().backoff_until(state.sender, state.clock.now());
+        if !server.is_leaving() && backoff_until.is_none() {
             return Ok((grant, server));
         }
         info!(state.log, "server wants no more requests since its slot was granted; returning it";
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -166,7 +166,7 @@
     /// It has said itself that it is leaving.
     Leaving,
     /// It has asked this host to send it nothing for so long.
-    Spared(Duration),
+    Backoff(Duration),
 }
 
 /// Why a slot request failed.
@@ -238,10 +238,10 @@
         }
     };
     let now = state.clock.now();
-    let why = match server.notice().spared_until(state.sender, now) {
+    let why = match server.notice().backoff_until(state.sender, now) {
         _ if server.identity == granted && server.notice().is_leaving() => Some(Unusable::Leaving),
         _ if is_unusable => Some(Unusable::Gone),
-        ends => ends.map(|ends| Unusable::Spared(ends.since(now))),
+        ends => ends.map(|ends| Unusable::Backoff(ends.since(now))),
     };
     if let Some(why) = why {
         return Err(Failure::Unusable { server: granted, why });
@@ -310,7 +310,7 @@
                 reuse_distance: grant.reuse_distance().map(ReuseDistance::number),
                 is_unusable: false,
                 is_leaving: false,
-                spare_ms: None,
+                backoff_ms: None,
             },
         );
     }
@@ -330,13 +330,17 @@
 }
 
 /// The report on a server that this host is to send nothing for so long.
-pub fn spare_report(service: &service::Name, server: &Identity, spared: Duration) -> ServerReport {
-    unusable_report(service, server, Unusable::Spared(spared))
+pub fn backoff_report(
+    service: &service::Name,
+    server: &Identity,
+    backoff: Duration,
+) -> ServerReport {
+    unusable_report(service, server, Unusable::Backoff(backoff))
 }
 
 fn unusable_report(service: &service::Name, server: &Identity, why: Unusable) -> ServerReport {
-    let spare_ms = match why {
-        Unusable::Spared(spared) => Some(millis(spared)),
+    let backoff_ms = match why {
+        Unusable::Backoff(backoff) => Some(millis(backoff)),
         Unusable::Gone | Unusable::Leaving => None,
     };
     ServerReport {
@@ -345,9 +349,9 @@
         incarnation: Some(server.incarnation),
         latency_us: None,
         reuse_distance: None,
-        is_unusable: spare_ms.is_none(),
+        is_unusable: backoff_ms.is_none(),
         is_leaving: why == Unusable::Leaving,
-        spare_ms,
+        backoff_ms,
     }
 }
 
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -48,7 +48,7 @@
     /// Whether the request must stay in the region.
     #[serde(default)]
     pub is_bound: bool,
-    /// Name of the asking host, which servers may have asked to spare them; absent in requests of
+    /// Name of the asking host, which servers may have asked for backoff; absent in requests of
     /// older builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub host: Option<String>,
@@ -81,7 +81,7 @@
     pub is_leaving: bool,
     /// For how long the reporting host is to send the server nothing, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub spare_ms: Option<u64>,
+    pub backoff_ms: Option<u64>,
 }
 
 /// Path on which a host hands on the store changes that it reads for its zone ([`Follow`]).
--- a/crates/node/src/gateway/names.rs
+++ b/crates/node/src/gateway/names.rs
@@ -20,5 +20,5 @@
     /// With the value `1`: the server is leaving.
     pub server_leaving: HeaderName,
     /// With 503: for how many seconds the server wants nothing from this host.
-    pub spare_s: HeaderName,
+    pub retry_after: HeaderName,
 }
--- a/crates/node/src/gateway/notice.rs
+++ b/crates/node/src/gateway/notice.rs
@@ -30,12 +30,12 @@
         grant::report(state, grant::leaving_report(call.service, server));
     }
     if head.status == StatusCode::SERVICE_UNAVAILABLE
-        && let Some(raw) = head.headers.get(&state.names.spare_s)
+        && let Some(raw) = head.headers.get(&state.names.retry_after)
     {
         match parse_seconds(raw) {
             Some(asked) if asked.is_zero() => {}
-            Some(asked) => spare(state, call, server, asked),
-            None => warn!(state.log, "server asks to be spared for no whole number of seconds; \
+            Some(asked) => back_off(state, call, server, asked),
+            None => warn!(state.log, "server asks for backoff of no whole number of seconds; \
                 ignoring it"; "request" => call.id, "server" => %server.identity.name,
                 "asked" => String::from_utf8_lossy(raw.as_bytes()).into_owned()),
         }
@@ -54,25 +54,25 @@
 }
 
 /// Sends the server nothing for the time that it asked of this host, and lets the arbiter know.
-fn spare(state: &Shared, call: &Call<'_>, server: &Server, asked: Duration) {
+fn back_off(state: &Shared, call: &Call<'_>, server: &Server, asked: Duration) {
     let now = state.clock.now();
-    let ends = server.notice().spare(&server.identity, state.sender, asked, now);
-    keep(state, server, |notice| notice.spare_until(state.sender, ends, now));
-    state.spares.fetch_add(1, Ordering::Relaxed);
-    let spared = ends.since(now);
-    info!(state.log, "server asks to be spared; sending it nothing until then";
+    let ends = server.notice().back_off(&server.identity, state.sender, asked, now);
+    keep(state, server, |notice| notice.back_off_until(state.sender, ends, now));
+    state.backoffs.fetch_add(1, Ordering::Relaxed);
+    let backoff = ends.since(now);
+    info!(state.log, "server asks for backoff; sending it nothing until then";
         "request" => call.id, "server" => %server.identity.name,
         "incarnation" => server.identity.incarnation, "asked_s" => asked.as_secs(),
-        "spared_ms" => spared.as_millis());
+        "backoff_ms" => backoff.as_millis());
     if state.snapshot().remote_arbiter(&state.settings, call.service).is_some() {
-        grant::report(state, grant::spare_report(call.service, &server.identity, spared));
+        grant::report(state, grant::backoff_report(call.service, &server.identity, backoff));
     }
 }
 
 /// Records that another host is to send the server nothing for so long.
-pub fn record_spare(state: &Shared, server: &Server, sender: Sender, spared: Duration) {
+pub fn record_backoff(state: &Shared, server: &Server, sender: Sender, backoff: Duration) {
     let now = state.clock.now();
-    let record = |notice: &Notice| notice.spare_until(sender, now + spared, now);
+    let record = |notice: &Notice| notice.back_off_until(sender, now + backoff, now);
     record(server.notice());
     keep(state, server, record);
 }
--- a/crates/node/src/gateway/page.rs
+++ b/crates/node/src/gateway/page.rs
@@ -68,7 +68,7 @@
         ("gateway.outside_homes", &state.outside_homes),
         ("gateway.foreign_lookups", &state.foreign_lookups),
         ("gateway.said_leaving", &state.said_leaving),
-        ("gateway.spares", &state.spares),
+        ("gateway.backoffs", &state.backoffs),
         ("gateway.returned_grants", &state.returned_grants),
     ];
     for (name, count) in counts {
--- a/crates/node/src/gateway/slots.rs
+++ b/crates/node/src/gateway/slots.rs
@@ -114,7 +114,7 @@
     };
     drop(servers);
     if load.slots == 0 {
-        return Err(all_spared(pool, clock, &criteria).unwrap_or_else(no_server));
+        return Err(all_backed_off(pool, clock, &criteria).unwrap_or_else(no_server));
     }
     let rank = admission::rank(priority, time, &load);
     load.ahead = pool.queued_before(rank, &criteria);
@@ -129,14 +129,14 @@
                 refusal: Refusal::Overloaded,
                 retry_after: Some(admission::retry_after(time.after(limit), &load)),
             };
-            granted.ok_or_else(|| all_spared(pool, clock, &criteria).unwrap_or_else(overloaded))
+            granted.ok_or_else(|| all_backed_off(pool, clock, &criteria).unwrap_or_else(overloaded))
         }
     }
 }
 
-/// The error for a request whose host is to spare all servers that could run it, with the shortest
-/// of the times; `None` if one of them is not to be spared, or there is none.
-fn all_spared(
+/// The error for a request whose host must back off from all servers that could run it, with the
+/// shortest of the times; `None` if one of them has not asked for it, or there is none.
+fn all_backed_off(
     pool: &Pool<QueuedRequest>,
     clock: Monotonic,
     criteria: &Criteria,
@@ -149,7 +149,7 @@
     let ends: Option<Vec<Instant>> = servers
         .iter()
         .filter(is_allowed)
-        .map(|server| criteria.spared_until(server, now))
+        .map(|server| criteria.backoff_until(server, now))
         .collect();
     let shortest = ends?.into_iter().min()?.since(now);
     let retry_after = admission::spread_return(shortest, &mut ThreadRandom);
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -78,10 +78,10 @@
     pub unlisted_at: watch::Sender<Option<entry::Version>>,
     /// Number of slots granted outside the home regions of their request's route.
     pub outside_homes: AtomicU64,
-    /// What stands for this host where servers ask hosts to spare them.
+    /// What stands for this host where servers ask hosts for backoff.
     pub sender: Sender,
-    /// Number of answers by which servers asked this host to spare them.
-    pub spares: AtomicU64,
+    /// Number of answers by which servers asked this host for backoff.
+    pub backoffs: AtomicU64,
     /// Number of starts of servers that said in an answer, to this host or another, that they
     /// leave.
     pub said_leaving: AtomicU64,
@@ -163,7 +163,7 @@
             unlisted_at: watch::Sender::default(),
             outside_homes: AtomicU64::new(0),
             sender,
-            spares: AtomicU64::new(0),
+            backoffs: AtomicU64::new(0),
             said_leaving: AtomicU64::new(0),
             returned_grants: AtomicU64::new(0),
             foreign_lookups: AtomicU64::new(0),
--- a/crates/oleanderspan/benches/placement.rs
+++ b/crates/oleanderspan/benches/placement.rs
@@ -59,8 +59,8 @@
     pool
 }
 
-/// How long servers are spared, longer than the benchmark's clock runs.
-const SPARED: Duration = Duration::from_secs(60);
+/// How long the backoff lasts, longer than the benchmark's clock runs.
+const BACKOFF: Duration = Duration::from_secs(60);
 
 fn sender() -> Sender {
     Sender::from(&entry::Name::try_from("host-1").unwrap())
@@ -89,21 +89,24 @@
             });
         });
         let sender = Some(sender());
-        let spared = pool.servers();
-        for server in spared.iter().step_by(10) {
-            server.notice().spare(&server.identity, Sender::from(&other_host()), SPARED, at(9));
+        let backoff = pool.servers();
+        for server in backoff.iter().step_by(10) {
+            server.notice().back_off(&server.identity, Sender::from(&other_host()), BACKOFF, at(9));
         }
-        criterion.bench_function(&format!("the same, a tenth spared by others, {servers}"), |b| {
-            b.iter(|| {
-                object = object % (u64::from(servers) * 8) + 1;
-                let criteria = Criteria { sender, ..criteria(object) };
-                let placed = pool.place(&criteria, Rank::default(), Duration::ZERO, at(9));
-                let Placement::Taken(server) = black_box(placed) else {
-                    panic!("no caching server has a free slot")
-                };
-                pool.release(&server, at(9));
-            });
-        });
+        criterion.bench_function(
+            &format!("the same, a tenth with backoff of others, {servers}"),
+            |b| {
+                b.iter(|| {
+                    object = object % (u64::from(servers) * 8) + 1;
+                    let criteria = Criteria { sender, ..criteria(object) };
+                    let placed = pool.place(&criteria, Rank::default(), Duration::ZERO, at(9));
+                    let Placement::Taken(server) = black_box(placed) else {
+                        panic!("no caching server has a free slot")
+                    };
+                    pool.release(&server, at(9));
+                });
+            },
+        );
         criterion.bench_function(&format!("place an uncached object, {servers} servers"), |b| {
             b.iter(|| {
                 let server = pool.try_acquire_for(&criteria(1 << 40), at(9)).unwrap();
--- a/crates/oleanderspan/src/backend/notice.rs
+++ b/crates/oleanderspan/src/backend/notice.rs
@@ -17,9 +17,9 @@
 /// listed server holds its own notice.
 const MAX_KEPT: usize = 4_096;
 
-/// The longest time for which a server may ask to be spared. A longer one is cut to it, as the
+/// The longest backoff that a server may ask for. A longer one is cut to it, as the
 /// sender would not notice in good time that the server wants requests again.
-pub const MAX_SPARE: Duration = Duration::from_secs(60);
+pub const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
 /// The ends of the times that a server asked of several hosts are moved by up to this, each by its
 /// own part of it, so that they do not all come back at once.
@@ -31,9 +31,9 @@
 /// The interval between requests to one server of all hosts that return to it.
 const RETURN_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Number of hosts that one server may ask to spare it. Each of them checks for itself whether it
-/// is to spare the server, so that one dropped here costs only a slot given out in vain.
-const MAX_SPARING_HOSTS: usize = 128;
+/// Number of hosts that one server may ask for backoff. Each of them checks for itself whether it
+/// must back off from the server, so that one dropped here costs only a slot given out in vain.
+const MAX_BACKOFF_HOSTS: usize = 128;
 
 /// The value of [`Notice::special_until`] once the server has said that it is leaving.
 const LEAVING: u64 = u64::MAX;
@@ -57,20 +57,20 @@
     /// atomic, so that asking costs a single load while nothing was said.
     special_until: AtomicU64,
     is_kept: AtomicBool,
-    /// The hosts that are to spare the server, replaced as a whole.
-    spares: ArcSwapOption<Vec<Spare>>,
+    /// The hosts that must back off from the server, replaced as a whole.
+    backoffs: ArcSwapOption<Vec<Backoff>>,
     /// When the next request of a host that returns may follow, in nanoseconds of the clock.
     next_return: AtomicU64,
 }
 
 /// A time for which one host sends the server nothing.
 #[derive(Clone, Copy, Debug)]
-struct Spare {
+struct Backoff {
     sender: Sender,
     ends: Instant,
 }
 
-impl Spare {
+impl Backoff {
     /// Whether the time and the return after it are over.
     fn is_over(&self, now: Instant) -> bool {
         now >= self.ends + RETURN_PERIOD
@@ -88,9 +88,10 @@
         self.special_until.load(Ordering::SeqCst) == LEAVING
     }
 
-    /// Records that the server asked `sender` to spare it for the time `asked`, which is bounded by
-    /// [`MAX_SPARE`], and returns when that ends. A shorter time never takes back a longer one.
-    pub fn spare(
+    /// Records that the server asked `sender` for a backoff of the time `asked`, which is bounded
+    /// by [`MAX_BACKOFF`], and returns when that ends. A shorter time never takes back a longer
+    /// one.
+    pub fn back_off(
         &self,
         identity: &Identity,
         sender: Sender,
@@ -99,68 +100,69 @@
     ) -> Instant {
         let steps = RETURN_SPREAD.as_millis() as u64;
         let part = rank::weight_for_hash(sender.0, identity.name.as_str()) % steps;
-        let ends = now + asked.min(MAX_SPARE) + Duration::from_millis(part);
-        self.spare_until(sender, ends, now);
+        let ends = now + asked.min(MAX_BACKOFF) + Duration::from_millis(part);
+        self.back_off_until(sender, ends, now);
         ends
     }
 
-    /// Records that `sender` is to spare the server until `ends`, as far as [`MAX_SPARE`] allows.
-    pub fn spare_until(&self, sender: Sender, ends: Instant, now: Instant) {
-        let ends = ends.min(now + MAX_SPARE + RETURN_SPREAD);
-        self.spares.rcu(|spares| {
-            let others = spares.iter().flat_map(|spares| spares.iter());
+    /// Records that `sender` must back off from the server until `ends`, as far as [`MAX_BACKOFF`]
+    /// allows.
+    pub fn back_off_until(&self, sender: Sender, ends: Instant, now: Instant) {
+        let ends = ends.min(now + MAX_BACKOFF + RETURN_SPREAD);
+        self.backoffs.rcu(|backoffs| {
+            let others = backoffs.iter().flat_map(|backoffs| backoffs.iter());
             let (own, mut others): (Vec<_>, Vec<_>) = others
-                .filter(|spare| !spare.is_over(now))
+                .filter(|backoff| !backoff.is_over(now))
                 .copied()
-                .partition(|spare| spare.sender == sender);
-            if others.len() >= MAX_SPARING_HOSTS {
-                others.sort_by_key(|spare| spare.ends);
+                .partition(|backoff| backoff.sender == sender);
+            if others.len() >= MAX_BACKOFF_HOSTS {
+                others.sort_by_key(|backoff| backoff.ends);
                 others.remove(0);
             }
-            let longer = own.into_iter().find(|spare| spare.ends >= ends);
-            others.push(longer.unwrap_or(Spare { sender, ends }));
+            let longer = own.into_iter().find(|backoff| backoff.ends >= ends);
+            others.push(longer.unwrap_or(Backoff { sender, ends }));
             Some(Arc::new(others))
         });
         self.special_until.fetch_max((ends + RETURN_PERIOD).as_nanos(), Ordering::SeqCst);
     }
 
     /// Until when `sender` is to send the server nothing; `None` if it may send.
-    pub fn spared_until(&self, sender: Sender, now: Instant) -> Option<Instant> {
-        self.find_spare(sender, now).map(|spare| spare.ends).filter(|ends| now < *ends)
+    pub fn backoff_until(&self, sender: Sender, now: Instant) -> Option<Instant> {
+        self.find_backoff(sender, now).map(|backoff| backoff.ends).filter(|ends| now < *ends)
     }
 
     /// Whether [`Notice::try_pass`] would admit a request of `sender`.
     pub fn is_open(&self, sender: Option<Sender>, now: Instant) -> bool {
-        let spare = sender.and_then(|sender| self.find_spare(sender, now));
-        spare.is_none_or(|spare| {
-            now >= spare.ends && self.next_return.load(Ordering::Relaxed) <= now.as_nanos()
+        let backoff = sender.and_then(|sender| self.find_backoff(sender, now));
+        backoff.is_none_or(|backoff| {
+            now >= backoff.ends && self.next_return.load(Ordering::Relaxed) <= now.as_nanos()
         })
     }
 
-    /// Admits one request of `sender`, or returns `false` if it is to spare the server or has just
-    /// returned to it.
+    /// Admits one request of `sender`, or returns `false` if it must back off from the server or
+    /// has just returned to it.
     pub fn try_pass(&self, sender: Option<Sender>, now: Instant) -> bool {
-        let Some(spare) = sender.and_then(|sender| self.find_spare(sender, now)) else {
+        let Some(backoff) = sender.and_then(|sender| self.find_backoff(sender, now)) else {
             return true;
         };
         let following = (now + RETURN_INTERVAL).as_nanos();
         let pass = |next: u64| (next <= now.as_nanos()).then_some(following);
         let pass = || self.next_return.fetch_update(Ordering::Relaxed, Ordering::Relaxed, pass);
-        now >= spare.ends && pass().is_ok()
+        now >= backoff.ends && pass().is_ok()
     }
 
-    fn find_spare(&self, sender: Sender, now: Instant) -> Option<Spare> {
+    fn find_backoff(&self, sender: Sender, now: Instant) -> Option<Backoff> {
         if now.as_nanos() >= self.special_until.load(Ordering::SeqCst) {
             return None;
         }
-        let spares = self.spares.load();
-        let spare = spares.as_ref()?.iter().find(|spare| spare.sender == sender);
-        spare.filter(|spare| !spare.is_over(now)).copied()
+        let backoffs = self.backoffs.load();
+        let backoff = backoffs.as_ref()?.iter().find(|backoff| backoff.sender == sender);
+        backoff.filter(|backoff| !backoff.is_over(now)).copied()
     }
 
     /// Number of hosts of which the server has asked something.
-    pub fn sparing_hosts(&self) -> usize {
-        self.spares.load().as_ref().map_or(0, |spares| spares.len())
+    pub fn backoff_hosts(&self) -> usize {
+        self.backoffs.load().as_ref().map_or(0, |backoffs| backoffs.len())
     }
 
     /// Whether [`Notices`] has the notice.
--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -46,9 +46,9 @@
 /// Resolution at which eviction ages are compared.
 const EVICTION_AGE_STEP: Duration = Duration::from_millis(500);
 
-/// Number of waiters whose host spares the server of a free slot after which the queue is left
-/// alone until the next release or the next call by the timer.
-const MAX_SPARED_TRIES: u32 = 16;
+/// Number of waiters whose host backs off from the server of a free slot after which the queue is
+/// left alone until the next release or the next call by the timer.
+const MAX_BACKOFF_TRIES: u32 = 16;
 
 /// How the queue behaves under overload.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -74,8 +74,9 @@
 /// A slot that a waiter did not take.
 struct Returned {
     server: Arc<Server>,
-    /// Whether the waiter's host is to spare the server, so that another waiter may take the slot.
-    is_spared: bool,
+    /// Whether the waiter's host must back off from the server, so that another waiter may take the
+    /// slot.
+    is_backed_off: bool,
 }
 
 /// Dispatches requests to servers, first come first served within a rank.
@@ -389,7 +390,7 @@
 
     /// Hands free slots to the waiters of the shared queue.
     fn serve_queue(&self, now: Instant) {
-        let mut spared = 0;
+        let mut backed_off = 0;
         while self.is_servable(now) {
             let Some(server) = self.take(now) else { return };
             let free = match !self.is_borrowed(&server) || self.has_free_in_region(now) {
@@ -398,13 +399,13 @@
             };
             let granted = match self.next_waiter(free, now) {
                 Some(queued) => self.grant(queued, server, now),
-                None => Err(Returned { server, is_spared: false }),
+                None => Err(Returned { server, is_backed_off: false }),
             };
-            if let Err(Returned { server, is_spared }) = granted {
+            if let Err(Returned { server, is_backed_off }) = granted {
                 server.release_slot();
                 self.limiter.release();
-                spared += u32::from(is_spared);
-                if spared > MAX_SPARED_TRIES {
+                backed_off += u32::from(is_backed_off);
+                if backed_off > MAX_BACKOFF_TRIES {
                     return;
                 }
             }
@@ -433,11 +434,11 @@
         if !criteria.allows_region_of(&server) {
             // Another request took the last slot in the region.
             self.passed_over[usize::from(queued.rank.0)].push(queued);
-            return Err(Returned { server, is_spared: false });
+            return Err(Returned { server, is_backed_off: false });
         }
         if has_passed || server.notice().try_pass(criteria.sender, now) {
             let granted = queued.waiter.grant(server);
-            return granted.map_err(|server| Returned { server, is_spared: false });
+            return granted.map_err(|server| Returned { server, is_backed_off: false });
         }
         // At the origin of the clock, times that have ended long since look as if they lay ahead.
         let may_wait = |server: &Arc<Server>| criteria.may_wait_for(server, now);
@@ -446,7 +447,7 @@
         } else {
             queued.waiter.refuse();
         }
-        Err(Returned { server, is_spared: true })
+        Err(Returned { server, is_backed_off: true })
     }
 
     /// Takes the next waiter that can use a free slot. From the onset of overload until the queue
@@ -629,7 +630,7 @@
     }
 }
 
-/// Whether the rates that limit a cold server and one that was spared admit a request.
+/// Whether the rates that limit a cold server and one after a backoff admit a request.
 fn passes(server: &Server, sender: Option<Sender>, now: Instant) -> bool {
     server.notice().try_pass(sender, now) && server.cold().try_pass(now)
 }
--- a/crates/oleanderspan/src/backend/pool/waiting.rs
+++ b/crates/oleanderspan/src/backend/pool/waiting.rs
@@ -18,7 +18,7 @@
     {
     }
 
-    /// The host that sends the request, if it may have been asked to spare servers.
+    /// The host that sends the request, if it may have been asked to back off from servers.
     fn sender(&self) -> Option<Sender> {
         None
     }
@@ -60,7 +60,7 @@
     pub excluded: Option<backend::Name>,
     /// The only region whose servers may run the request; `None` if any may.
     pub region: Option<region::Index>,
-    /// The host that sends the request, which servers may have asked to spare them.
+    /// The host that sends the request, which servers may have asked for backoff.
     pub sender: Option<Sender>,
 }
 
@@ -75,12 +75,12 @@
     pub fn may_wait_for(&self, server: &Server, now: Instant) -> bool {
         server.accepts_requests()
             && self.allows_region_of(server)
-            && self.spared_until(server, now).is_none()
+            && self.backoff_until(server, now).is_none()
     }
 
-    /// Until when the host of the request is to spare the server; `None` if it may send.
-    pub fn spared_until(&self, server: &Server, now: Instant) -> Option<Instant> {
-        self.sender.and_then(|sender| server.notice().spared_until(sender, now))
+    /// Until when the host of the request must back off from the server; `None` if it may send.
+    pub fn backoff_until(&self, server: &Server, now: Instant) -> Option<Instant> {
+        self.sender.and_then(|sender| server.notice().backoff_until(sender, now))
     }
 
     /// Whether the request may run in the server's region. Unlike `excluded`, this is binding even
--- a/crates/oleanderspan/src/request/admission.rs
+++ b/crates/oleanderspan/src/request/admission.rs
@@ -143,7 +143,7 @@
     load.expected_wait().min(max).max(MIN_RETRY_AFTER)
 }
 
-/// How long a client should wait if all servers of its request are to be spared for at least
+/// How long a client should wait if all servers of its request have asked for a backoff of at least
 /// `shortest`: no less than that, and up to a quarter more, so that clients do not all come back at
 /// once.
 pub fn spread_return(shortest: Duration, random: &mut impl Random) -> Duration {
--- a/crates/oleanderspan/tests/spared_fleet.rs
+++ b/crates/oleanderspan/tests/backoff_fleet.rs
@@ -34,7 +34,7 @@
 /// How often a client comes back.
 const MAX_RETURNS: u32 = 4;
 
-/// How long servers ask to be spared.
+/// How long a backoff servers ask for.
 const ASKED: Duration = Duration::from_secs(2);
 
 fn at(millis: u64) -> Instant {
@@ -72,7 +72,7 @@
 enum Answer {
     Served,
     /// 503 with `Retry-After`.
-    Spare,
+    Unavailable,
     /// A success that says that the server is leaving.
     Leaving,
 }
@@ -111,14 +111,14 @@
             for (server, ends) in unreported[host].drain(..) {
                 let notice = servers[server].notice();
                 match ends {
-                    Some(ends) => notice.spare_until(sender, ends, at(now)),
+                    Some(ends) => notice.back_off_until(sender, ends, at(now)),
                     None => assert!(notice.record_leaving() || notice.is_leaving()),
                 }
             }
             let criteria = Criteria { sender: Some(sender), ..Criteria::default() };
             let Some(granted) = pool.try_acquire_for(&criteria, at(now)) else {
-                // All servers are to be spared, or all slots are taken.
-                let ends = servers.iter().map(|server| criteria.spared_until(server, at(now)));
+                // All servers have asked for backoff, or all slots are taken.
+                let ends = servers.iter().map(|server| criteria.backoff_until(server, at(now)));
                 let shortest =
                     ends.collect::<Option<Vec<_>>>().and_then(|ends| ends.into_iter().min());
                 let wait = shortest.map_or(Duration::from_millis(50), |ends| ends.since(at(now)));
@@ -132,14 +132,14 @@
             let server = servers.iter().position(|server| Arc::ptr_eq(server, &granted)).unwrap();
             arrivals.push(Arrival { at: now, host, server });
             let answer = answer(server, now);
-            let held = if answer == Answer::Spare { REJECTION_MS } else { SERVICE_MS };
+            let held = if answer == Answer::Unavailable { REJECTION_MS } else { SERVICE_MS };
             releases.entry(now + held).or_default().push(server);
             match answer {
                 Answer::Served => {}
-                Answer::Spare => {
+                Answer::Unavailable => {
                     // The notice of the asked host's own, with the end as that host works it out.
                     let own = oleanderspan::backend::Notice::default();
-                    let ends = own.spare(&granted.identity, sender, ASKED, at(now));
+                    let ends = own.back_off(&granted.identity, sender, ASKED, at(now));
                     unreported[host].push((server, Some(ends)));
                 }
                 Answer::Leaving => unreported[host].push((server, None)),
@@ -154,7 +154,8 @@
 fn hosts_come_back_to_a_whole_service_without_a_storm() {
     const BEGIN: u64 = 500;
     const END: u64 = 1_500;
-    let answer = |_, now| if (BEGIN..END).contains(&now) { Answer::Spare } else { Answer::Served };
+    let answer =
+        |_, now| if (BEGIN..END).contains(&now) { Answer::Unavailable } else { Answer::Served };
     let arrivals = play(8_000, answer);
     // Neither host sends a server more than the request that it was told at, within the time asked.
     let mut told: BTreeMap<(usize, usize), u64> = BTreeMap::new();
--- a/crates/oleanderspan/tests/notice.rs
+++ b/crates/oleanderspan/tests/notice.rs
@@ -13,7 +13,7 @@
     backend::{
         Listing, Name, Notice, Notices, Object, Pool, ReuseDistance, Sender, Server, Waiter,
         listing::Entry,
-        notice::MAX_SPARE,
+        notice::MAX_BACKOFF,
         pool::{Criteria, OverloadPolicy, Placement, Rank},
         server::Identity,
     },
@@ -160,7 +160,7 @@
     assert_eq!(server.in_flight(), 0);
 }
 
-/// The longest time by which the end of a spare is moved, so that hosts do not all come back at once.
+/// The longest time by which the end of a backoff is moved, so that hosts do not all come back at once.
 const SPREAD_MILLIS: u64 = 500;
 
 fn sender(host: &str) -> Sender {
@@ -172,50 +172,50 @@
 }
 
 #[test]
-fn server_is_spared_by_the_host_that_it_asked_only_and_for_no_less_than_it_asked() {
+fn only_the_host_that_was_asked_backs_off_and_for_no_less_than_the_time_asked() {
     let notice = Notice::default();
     let (own, other) = (sender("host-1"), sender("host-2"));
     assert!(notice.is_open(Some(own), at(0)));
-    notice.spare(&identity(7), own, seconds(2), at(100));
+    notice.back_off(&identity(7), own, seconds(2), at(100));
     // A shorter time asked later takes nothing back.
-    notice.spare(&identity(7), own, seconds(1), at(200));
+    notice.back_off(&identity(7), own, seconds(1), at(200));
     for now in (100..2_100).step_by(50).map(at) {
         assert!(!notice.is_open(Some(own), now) && !notice.try_pass(Some(own), now), "{now:?}");
-        assert!(notice.spared_until(own, now).is_some(), "{now:?}");
+        assert!(notice.backoff_until(own, now).is_some(), "{now:?}");
         assert!(notice.is_open(Some(other), now) && notice.is_open(None, now), "{now:?}");
     }
     let end = at(2_100 + SPREAD_MILLIS);
-    assert!(notice.spared_until(own, end).is_none() && notice.try_pass(Some(own), end));
+    assert!(notice.backoff_until(own, end).is_none() && notice.try_pass(Some(own), end));
 }
 
 #[test]
 fn time_asked_is_bounded() {
     let notice = Notice::default();
-    notice.spare(&identity(7), sender("host-1"), Duration::MAX, at(0));
-    let limit = MAX_SPARE.as_millis() as u64;
-    assert!(notice.spared_until(sender("host-1"), at(limit - 1)).is_some());
-    assert!(notice.spared_until(sender("host-1"), at(limit + SPREAD_MILLIS)).is_none());
+    notice.back_off(&identity(7), sender("host-1"), Duration::MAX, at(0));
+    let limit = MAX_BACKOFF.as_millis() as u64;
+    assert!(notice.backoff_until(sender("host-1"), at(limit - 1)).is_some());
+    assert!(notice.backoff_until(sender("host-1"), at(limit + SPREAD_MILLIS)).is_none());
 }
 
 #[test]
 fn leaving_outlasts_a_time_asked_before_or_after() {
     let notice = Notice::default();
-    notice.spare(&identity(7), sender("host-1"), seconds(1), at(0));
+    notice.back_off(&identity(7), sender("host-1"), seconds(1), at(0));
     notice.record_leaving();
-    notice.spare(&identity(7), sender("host-1"), seconds(1), at(0));
+    notice.back_off(&identity(7), sender("host-1"), seconds(1), at(0));
     assert!(notice.is_leaving());
 }
 
 /// 80 hosts whose times end together: none sends before its end, and they come back one by one.
 #[test]
-fn hosts_return_to_a_spared_server_spread_out() {
+fn hosts_return_to_a_server_spread_out_after_their_backoff() {
     const HOSTS: usize = 80;
     let notice = Notice::default();
     let hosts: Vec<Sender> = (0..HOSTS).map(|n| sender(&format!("host-{n}"))).collect();
     hosts.iter().for_each(|host| {
-        notice.spare(&identity(7), *host, seconds(2), at(0));
+        notice.back_off(&identity(7), *host, seconds(2), at(0));
     });
-    assert_eq!(notice.sparing_hosts(), HOSTS);
+    assert_eq!(notice.backoff_hosts(), HOSTS);
     // Each host tries all the time.
     let mut passed = Vec::new();
     for now in 0..2_500 {
@@ -235,14 +235,14 @@
 fn state_kept_for_a_server_is_bounded() {
     let notice = Notice::default();
     for host in 0..10_000 {
-        notice.spare(&identity(7), sender(&format!("host-{host}")), seconds(60), at(0));
+        notice.back_off(&identity(7), sender(&format!("host-{host}")), seconds(60), at(0));
     }
-    assert!(notice.sparing_hosts() <= 128, "{}", notice.sparing_hosts());
-    notice.spare(&identity(7), sender("host-1"), seconds(1), at(100_000));
-    assert_eq!(notice.sparing_hosts(), 1, "what is over is dropped");
+    assert!(notice.backoff_hosts() <= 128, "{}", notice.backoff_hosts());
+    notice.back_off(&identity(7), sender("host-1"), seconds(1), at(100_000));
+    assert_eq!(notice.backoff_hosts(), 1, "what is over is dropped");
 }
 
-/// A waiter of a host that is to spare servers.
+/// A waiter of a host that must back off from servers.
 #[derive(Clone)]
 struct HostTicket(Ticket, Sender);
 
@@ -275,7 +275,7 @@
 }
 
 #[test]
-fn queued_requests_of_a_host_pass_over_the_server_that_it_is_to_spare() {
+fn queued_requests_of_a_host_pass_over_the_server_that_it_backs_off_from() {
     let (pool, servers) = busy_pool();
     let own = sender("host-1");
     let enqueue = |sender: Sender, now| {
@@ -287,14 +287,14 @@
     };
     let first = enqueue(own, at(0));
     let second = enqueue(sender("host-2"), at(0));
-    servers[0].notice().spare(&servers[0].identity, own, seconds(2), at(1));
+    servers[0].notice().back_off(&servers[0].identity, own, seconds(2), at(1));
     pool.release(&servers[0], at(2));
     assert_eq!((first.get(), second.get()), (None, Some(true)), "the other host takes the slot");
     pool.release(&servers[1], at(3));
     assert_eq!(first.get(), Some(true), "the first takes that of the other server");
-    // With all servers to be spared, a request that waits ends at once.
+    // With all servers to be backoff, a request that waits ends at once.
     let third = enqueue(own, at(4));
-    servers[1].notice().spare(&servers[1].identity, own, seconds(2), at(5));
+    servers[1].notice().back_off(&servers[1].identity, own, seconds(2), at(5));
     pool.release(&servers[1], at(6));
     assert_eq!(third.get(), Some(false));
     assert_eq!(servers[1].in_flight(), 0);
@@ -306,7 +306,7 @@
     let (pool, servers) = busy_pool();
     let own = sender("host-1");
     for server in &servers {
-        server.notice().spare(&server.identity, own, seconds(1), at(0));
+        server.notice().back_off(&server.identity, own, seconds(1), at(0));
     }
     let ticket = || HostTicket(Ticket::default(), own);
     let (common, single) = (ticket(), ticket());
@@ -316,7 +316,7 @@
     let joined = {
         let identity = Identity { name: Name::try_from("server-3").unwrap(), incarnation: 1 };
         let server = Server::new(identity, "127.0.0.1:3".parse().unwrap(), LOCATION, 1);
-        server.notice().spare(&server.identity, own, seconds(1), at(0));
+        server.notice().back_off(&server.identity, own, seconds(1), at(0));
         Arc::new(server)
     };
     servers[0].release_slot();
@@ -341,7 +341,7 @@
         let mut sequence = 0;
         // What this host was told, by start.
         let mut leaving = BTreeSet::new();
-        let mut spared: BTreeMap<u64, Instant> = BTreeMap::new();
+        let mut backoff: BTreeMap<u64, Instant> = BTreeMap::new();
         // Servers of requests that are under way, whose answers are yet to come.
         let mut sent: Vec<Arc<Server>> = Vec::new();
         for (step, start, millis) in steps {
@@ -370,11 +370,11 @@
                         listing.keep_notice(&server.identity, server.notice())
                     } else {
                         let asked = seconds(1 + millis % 4);
-                        let ends = server.notice().spare(&server.identity, own, asked, now);
-                        let end = spared.entry(start).or_insert(now + asked);
+                        let ends = server.notice().back_off(&server.identity, own, asked, now);
+                        let end = backoff.entry(start).or_insert(now + asked);
                         *end = (*end).max(now + asked);
                         let shared = listing.keep_notice(&server.identity, server.notice());
-                        shared.spare_until(own, ends, now);
+                        shared.back_off_until(own, ends, now);
                         shared
                     };
                     if step == 6 {
@@ -389,9 +389,9 @@
                     let granted = Server::new(identity(start), address, LOCATION, 1);
                     let granted = granted.with_notice(notice);
                     let is_accepted = granted.accepts_requests()
-                        && granted.notice().spared_until(own, now).is_none();
+                        && granted.notice().backoff_until(own, now).is_none();
                     let is_told = leaving.contains(&start)
-                        || spared.get(&start).is_some_and(|end| now < *end);
+                        || backoff.get(&start).is_some_and(|end| now < *end);
                     prop_assert!(!(is_accepted && is_told), "granted start {start} at {now:?}");
                 }
             }
@@ -401,8 +401,8 @@
             if let Some(server) = pool.try_acquire_for(&criteria, now) {
                 let start = server.identity.incarnation;
                 prop_assert!(!leaving.contains(&start), "start {start} has said that it leaves");
-                let end = spared.get(&start).copied().unwrap_or(at(0));
-                prop_assert!(now >= end, "start {start} is to be spared until {end:?}");
+                let end = backoff.get(&start).copied().unwrap_or(at(0));
+                prop_assert!(now >= end, "start {start} has asked for backoff until {end:?}");
                 sent.push(server);
             }
         }
