Put a configuration in force without the parts that cannot be used

Cause: the decoder read a configuration as one value, so that a route of the kind `download`, or any other part that this version doesn't understand, threw away all of it.

Change: each service, host and route is read on its own; what cannot be used is left out with its place in the log and counted (`gateway.unusable_parts`). Requests of such a route are refused as not run and don't fall to a shorter prefix; a share of a split without its service is refused, not moved. Text that is no JSON, a missing or malformed version and a configuration without any usable route are still rejected whole.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -244,7 +244,8 @@
     fn latest(state: &Shared, call: &Call<'_>, head: &http::request::Parts) -> Routing {
         let snapshot = state.snapshot();
         let newer = snapshot.table.as_ref().filter(|table| table.version != call.routes_version);
-        let route = newer.and_then(|table| Some((table.version, front::find_route(table, head)?)));
+        let route =
+            newer.and_then(|table| Some((table.version, front::find_route(table, head).ok()?)));
         let (version, route) =
             route.unwrap_or_else(|| (call.routes_version, Arc::clone(call.route)));
         Routing { version, route }
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -7,7 +7,7 @@
     entry::rank,
     prelude::*,
     request::{Refusal, admission, retry::Deadline},
-    route::{Route, Table},
+    route::{Miss, Route, Table},
     service,
 };
 use slog::{debug, info};
@@ -65,7 +65,12 @@
         if id.is_empty() || head.method == Method::CONNECT {
             return Err(ForwardError::refused(Refusal::Malformed));
         }
-        let route = find_route(&table, &head).ok_or(ForwardError::refused(Refusal::NoService))?;
+        let route = find_route(&table, &head).map_err(|miss| {
+            ForwardError::refused(match miss {
+                Miss::Unknown => Refusal::NoService,
+                Miss::Unusable => Refusal::UnusableRoute,
+            })
+        })?;
         if body.size_hint().lower() > table.limits.max_body_bytes {
             return Err(ForwardError::refused(Refusal::TooLarge));
         }
@@ -76,6 +81,9 @@
         names::strip_hop_by_hop(&mut head.headers);
         names::strip_internal(&mut head.headers);
         let service = route.split.next();
+        if table.service(service).is_none() {
+            return Err(ForwardError::refused(Refusal::UnusableRoute));
+        }
         let pool = state.snapshot().pool(service, state.settings.region).map(Arc::clone);
         let typical_latency = pool.map(|pool| pool.typical_latency()).unwrap_or_default();
         let objective = admission::effective_objective(route.objective, typical_latency);
@@ -118,9 +126,10 @@
 }
 
 /// Finds the route by the request's host name and the longest matching path prefix.
-pub(super) fn find_route(table: &Table, head: &request::Parts) -> Option<Arc<Route>> {
+pub(super) fn find_route(table: &Table, head: &request::Parts) -> Result<Arc<Route>, Miss> {
     let named = head.uri.authority().map(|authority| authority.as_str());
-    let host = named.or_else(|| names::text(&head.headers, &header::HOST))?;
+    let host = named.or_else(|| names::text(&head.headers, &header::HOST));
+    let host = host.ok_or(Miss::Unknown)?;
     let host = match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
         _ => host,
--- a/crates/node/src/gateway/page.rs
+++ b/crates/node/src/gateway/page.rs
@@ -64,6 +64,8 @@
     }
     let version = snapshot.table.as_ref().map_or(0, |table| table.version);
     let _ = client.gauge("gateway.routes_version", version);
+    let unusable = snapshot.table.as_ref().map_or(0, |table| table.faults.len());
+    let _ = client.gauge("gateway.unusable_parts", unusable as u64);
     let counts = [
         ("gateway.outside_homes", &state.outside_homes),
         ("gateway.foreign_lookups", &state.foreign_lookups),
--- a/crates/node/src/gateway/watch.rs
+++ b/crates/node/src/gateway/watch.rs
@@ -26,6 +26,9 @@
 /// How often removed servers and lost evacuations are checked for the end of their grace period.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Maximum number of unusable parts of one configuration that are logged, each with its place.
+const MAX_LOGGED_FAULTS: usize = 16;
+
 /// Follows the operator's routes and evacuations.
 pub async fn operator<S: Source>(state: State, source: S) {
     follow(&state, &source, Topic::Operator, apply_operator).await;
@@ -103,8 +106,13 @@
         }
         info!(state.log, "routes in force"; "version" => table.version, "before" => old,
             "routes" => table.len(), "bound_routes" => table.bound_routes().count(),
+            "unusable_parts" => table.faults.len(),
             "homes" => homes(&table),
             "reader" => reader.map(entry::Name::as_str));
+        for fault in table.faults.iter().take(MAX_LOGGED_FAULTS) {
+            warn!(state.log, "part of the routes cannot be used; leaving it out";
+                "version" => table.version, "place" => &fault.path, "reason" => &fault.reason);
+        }
         view.table = Some(Arc::new(table));
         true
     });
--- a/crates/oleanderspan/src/request/outcome.rs
+++ b/crates/oleanderspan/src/request/outcome.rs
@@ -64,6 +64,8 @@
 pub enum Refusal {
     /// No service is configured for the request's authority.
     NoService,
+    /// The configuration has a route for the request that this host cannot use.
+    UnusableRoute,
     /// The request is malformed.
     Malformed,
     /// The request body exceeds the limit.
@@ -102,8 +104,9 @@
 
 impl Refusal {
     /// All refusals, for parsing, counters and tests.
-    pub const ALL: [Refusal; 18] = [
+    pub const ALL: [Refusal; 19] = [
         Refusal::NoService,
+        Refusal::UnusableRoute,
         Refusal::Malformed,
         Refusal::TooLarge,
         Refusal::Capped,
@@ -127,6 +130,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Refusal::NoService => "no-service",
+            Refusal::UnusableRoute => "unusable-route",
             Refusal::Malformed => "malformed",
             Refusal::TooLarge => "too-large",
             Refusal::Capped => "capped",
@@ -196,6 +200,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Refusal::NoService => "no service has this authority",
+            Refusal::UnusableRoute => "the route of the request cannot be used",
             Refusal::Malformed => "the request is malformed",
             Refusal::TooLarge => "the body is larger than the limit",
             Refusal::Capped => "no region may take the request within its cap",
--- a/crates/oleanderspan/src/route.rs
+++ b/crates/oleanderspan/src/route.rs
@@ -6,7 +6,7 @@
 pub mod table;
 
 pub use split::Split;
-pub use table::{Error, Table};
+pub use table::{Error, Miss, Table};
 
 use crate::{backend, prelude::*, region, request::Repeat};
 
--- a/crates/oleanderspan/src/route/raw.rs
+++ b/crates/oleanderspan/src/route/raw.rs
@@ -1,5 +1,7 @@
 //! The route document as written by the operator, before validation.
 
+use crate::route::Error;
+
 value! {
     /// A complete route document.
     pub struct Table {
@@ -11,6 +13,9 @@
         pub limits: Limits,
         /// The routes of each virtual host.
         pub hosts: Vec<Host>,
+        /// The parts of the document that could not be read; they are missing from the other
+        /// fields, or have a default there.
+        pub faults: Vec<Error>,
     }
 
     /// The server settings of one service.
@@ -45,6 +50,8 @@
         pub name: String,
         /// The routes; the longest matching prefix is used.
         pub routes: Vec<Route>,
+        /// The prefixes of routes of which nothing else could be read.
+        pub unreadable: Vec<String>,
     }
 
     /// The services, time limits and retry rules of requests with one path prefix.
--- a/crates/oleanderspan/tests/route_table.rs
+++ b/crates/oleanderspan/tests/route_table.rs
@@ -47,7 +47,8 @@
             head_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
-        hosts: vec![raw::Host { name: "Shop.example".to_owned(), routes }],
+        hosts: vec![raw::Host { name: "Shop.example".to_owned(), routes, unreadable: Vec::new() }],
+        faults: Vec::new(),
     }
 }
 
@@ -55,7 +56,7 @@
 fn the_longest_prefix_wins() {
     let routes = vec![route("/a/", &[("stock", 1)]), route("/a/b/", &[("slots", 1)])];
     let table = Table::try_from(document(1, routes)).unwrap();
-    let find = |host: &str, path: &str| table.find(host, path).map(|route| &*route.prefix);
+    let find = |host: &str, path: &str| table.find(host, path).ok().map(|route| &*route.prefix);
     assert_eq!(find("shop.example", "/a/b/c"), Some("/a/b/"));
     assert_eq!(find("shop.example", "/a/bc"), Some("/a/"));
     assert_eq!(find("shop.example", "/b/"), None);
