Refuse requests that come too late in a planned stop, and answer those at its end

Cause: after the client port had been closed, a connection whose head had begun to arrive was still served: its request was passed on at any time of the grace period. A request that waited was sent however little of the grace period was left.

Change: `entry::Grace` decides by the usual time of the service and what is left. The body of a refusal names the outcome over all attempts, as its header did.

--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -3,7 +3,10 @@
 use std::fmt;
 
 use http::{Response, StatusCode, header};
-use oleanderspan::{prelude::*, request::Refusal};
+use oleanderspan::{
+    prelude::*,
+    request::{Outcome, Refusal},
+};
 use serde::Serialize;
 
 use crate::{
@@ -53,12 +56,14 @@
 
 /// Builds the answer that states why a request was refused and whether it ran.
 pub fn response<G>(refusal: Refusal, request_id: &str, detail: Option<&str>) -> Response<Body<G>> {
-    response_after(refusal, refusal.status(), refusal.retry_after(), request_id, detail)
+    let (outcome, status) = (refusal.outcome(), refusal.status());
+    response_after(refusal, outcome, status, refusal.retry_after(), request_id, detail)
 }
 
-/// Like [`response`], but with the given status and retry delay.
+/// Like [`response`], but with the given outcome over all attempts, status and retry delay.
 pub fn response_after<G>(
     refusal: Refusal,
+    outcome: Outcome,
     status: u16,
     retry_after: Option<Duration>,
     request_id: &str,
@@ -69,7 +74,7 @@
         r#type: format!("urn:oleanderspan:refusal:{}", refusal.as_str()),
         title: refusal.to_string(),
         status,
-        outcome: refusal.outcome().as_str(),
+        outcome: outcome.as_str(),
         request_id,
         detail,
         retry_after_s,
@@ -81,7 +86,7 @@
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, names::value("application/problem+json"));
     headers.insert(header::CACHE_CONTROL, names::value("no-store"));
-    headers.insert(names::OUTCOME, names::value(refusal.outcome().as_str()));
+    headers.insert(names::OUTCOME, names::value(outcome.as_str()));
     headers.insert(names::REFUSAL, names::value(refusal.as_str()));
     headers.insert(names::REQUEST_ID, names::value(request_id));
     if let Some(seconds) = retry_after_s {
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -87,8 +87,13 @@
     let front = front::Front(state.clone());
     let connections = state.clone();
     let stopping = tokio::spawn(stop::run(state.clone(), source, stop));
-    server::serve_with(callers, front, state.stop.closed(), move || connections.client_options())
-        .await;
+    let serving = server::serve_with(callers, front, state.stop.closed(), move || {
+        connections.client_options()
+    });
+    tokio::select! {
+        () = serving => {}
+        () = stop::exit(&state) => {}
+    }
     let _ = stopping.await;
     tasks.iter().for_each(|task| task.abort());
     internal_stop.cancel();
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -20,6 +20,7 @@
         notice,
         slots::AcquireError,
         state::Shared,
+        stop,
     },
     http::{
         Body,
@@ -41,7 +42,7 @@
 
 /// How much later than the server's deadline this host stops waiting, so that an answer that the
 /// server sends at its deadline still arrives.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
+pub const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
 
 /// How long a slot is held after its server rejected a request or failed, for each consecutive
 /// failure.
@@ -148,6 +149,7 @@
         let has_time = call.deadline.remaining(state.clock.now()).is_some();
         let again = failure.server.is_some()
             && is_safe
+            && failure.refusal != Refusal::CutOff
             && has_time
             && outbound.can_send()
             && possible_runs < call.route.max_attempts
@@ -177,27 +179,27 @@
     outbound: &mut OutboundRequest,
     excluded: Option<backend::Name>,
 ) -> Result<Answer, Failure> {
-    let mut routing = Routing::latest(state, call, outbound.head());
-    let (requirements, grant, server) = loop {
-        let mut requirements = requirements(state, call, &routing.route, excluded.clone())
-            .ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
-        let (grant, server) = acquire_open(state, &mut requirements).await?;
-        let latest = Routing::latest(state, call, outbound.head());
-        if is_in_homes(state, &latest.route, &server) {
-            break (requirements, grant, server);
-        }
-        // The homes of a route may change while its requests wait.
-        if latest.version == routing.version {
-            report_outside_homes(state, call, &grant, &server);
-            return Err(Failure::unsent(Refusal::NoServer, None));
+    if stop::is_too_late(state, call) {
+        return Err(Failure::unsent(Refusal::Stopping, None));
+    }
+    let (requirements, grant, server) = tokio::select! {
+        biased;
+        acquired = acquire_in_homes(state, call, outbound.head(), excluded) => acquired?,
+        () = stop::last_send(state, call) => {
+            return Err(Failure::unsent(Refusal::Stopping, None));
         }
-        routing = latest;
     };
     let sent_at = state.clock.now();
-    let remaining = call.deadline.remaining(sent_at);
+    let remaining = stop::work_end(state, call).remaining(sent_at);
     let remaining = remaining.ok_or_else(|| Failure::unsent(Refusal::Expired, None))?;
     let exchange = exchange(state, call, outbound, &server, remaining);
-    match tokio::time::timeout(remaining + DEADLINE_MARGIN, exchange).await {
+    let exchange = tokio::time::timeout(remaining + DEADLINE_MARGIN, exchange);
+    let exchanged = tokio::select! {
+        biased;
+        exchanged = exchange => exchanged,
+        () = stop::cut_off(state) => Ok(Err((Refusal::CutOff, Outcome::Unknown))),
+    };
+    match exchanged {
         Ok(Ok((head, collected))) => {
             let latency = state.clock.now().since(sent_at);
             grant::record_outcome(state, &requirements, &grant, Some(latency));
@@ -218,6 +220,8 @@
             server.observe_failure();
             Err(Failure { answer: Some(answer), ..Failure::sent(refusal, &server) })
         }
+        // It says nothing about the server.
+        Ok(Err((Refusal::CutOff, _))) => Err(Failure::sent(Refusal::CutOff, &server)),
         Ok(Err((refusal, outcome))) => {
             grant::record_outcome(state, &requirements, &grant, None);
             release_after_backoff(grant, &server);
@@ -232,6 +236,31 @@
     }
 }
 
+/// Acquires a slot of a server in the home regions of the route that is in force by then.
+async fn acquire_in_homes<'a>(
+    state: &Shared,
+    call: &Call<'a>,
+    head: &http::request::Parts,
+    excluded: Option<backend::Name>,
+) -> Result<(Requirements<'a>, Grant, Arc<Server>), Failure> {
+    let mut routing = Routing::latest(state, call, head);
+    loop {
+        let mut requirements = requirements(state, call, &routing.route, excluded.clone())
+            .ok_or_else(|| Failure::unsent(Refusal::NoServer, None))?;
+        let (grant, server) = acquire_open(state, &mut requirements).await?;
+        let latest = Routing::latest(state, call, head);
+        if is_in_homes(state, &latest.route, &server) {
+            return Ok((requirements, grant, server));
+        }
+        // The homes of a route may change while its requests wait.
+        if latest.version == routing.version {
+            report_outside_homes(state, call, &grant, &server);
+            return Err(Failure::unsent(Refusal::NoServer, None));
+        }
+        routing = latest;
+    }
+}
+
 /// The route of a request, and the version of the routes that it is from.
 #[derive(Debug)]
 struct Routing {
--- a/crates/node/src/gateway/front.rs
+++ b/crates/node/src/gateway/front.rs
@@ -62,6 +62,9 @@
             return Err(ForwardError::refused(Refusal::NotReady));
         };
         drop(snapshot);
+        if state.stopping.get().is_some_and(|grace| !grace.is_open(arrived)) {
+            return Err(ForwardError::refused(Refusal::Stopping));
+        }
         if id.is_empty() || head.method == Method::CONNECT {
             return Err(ForwardError::refused(Refusal::Malformed));
         }
@@ -116,10 +119,10 @@
             "retry_after_ms" => error.retry_after.map(|wait| wait.as_millis()));
         state.counters.count_refused(error.refusal);
         let retry_after = error.retry_after.filter(|_| status == 503);
-        let mut answer = refusal::response_after(error.refusal, status, retry_after, id, None);
+        let ForwardError { refusal, outcome, .. } = error;
+        let mut answer = refusal::response_after(refusal, outcome, status, retry_after, id, None);
         let headers = answer.headers_mut();
         headers.remove(names::REQUEST_ID);
-        headers.insert(names::OUTCOME, names::value(error.outcome.as_str()));
         headers.insert(state.names.request_id.clone(), names::value(id));
         answer
     }
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -8,7 +8,7 @@
     availability::{self, Evacuations},
     backend::{self, Listing, Pool, Sender, Server, listing::ListedServer, pool::OverloadPolicy},
     entry::{
-        self, Roster, rank,
+        self, Grace, Roster, rank,
         roster::{self, Peer},
     },
     prelude::*,
@@ -18,7 +18,7 @@
     service,
 };
 use slog::{Logger, debug};
-use tokio::sync::watch;
+use tokio::sync::{SetOnce, watch};
 
 use crate::{
     clock::Monotonic,
@@ -74,6 +74,8 @@
     pub counters: Counters,
     /// Progress of a planned stop.
     pub stop: Stop,
+    /// The grace period of a planned stop, once it has begun.
+    pub stopping: SetOnce<Grace>,
     /// The latest version of the store that was seen without this host among the hosts.
     pub unlisted_at: watch::Sender<Option<entry::Version>>,
     /// Number of slots granted outside the home regions of their request's route.
@@ -160,6 +162,7 @@
             log,
             counters: Counters::new(),
             stop: Stop::default(),
+            stopping: SetOnce::new(),
             unlisted_at: watch::Sender::default(),
             outside_homes: AtomicU64::new(0),
             sender,
--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -1,5 +1,6 @@
 //! Entry hosts: identity, membership, liveness, and the selection of hosts for callers.
 
+pub mod grace;
 pub mod host;
 pub mod journal;
 pub mod lag;
@@ -9,6 +10,7 @@
 pub mod roster;
 pub mod version;
 
+pub use grace::Grace;
 pub use host::Host;
 pub use journal::Journal;
 pub use lag::Lag;
--- a/crates/oleanderspan/src/request/outcome.rs
+++ b/crates/oleanderspan/src/request/outcome.rs
@@ -94,6 +94,10 @@
     KeyReused,
     /// The host has not received a snapshot of the configuration in force.
     NotReady,
+    /// This host stops before the request could be done.
+    Stopping,
+    /// This host stopped while a server worked on the request.
+    CutOff,
     /// The deadline passed after the request was sent to a server.
     TimedOut,
     /// The connection failed after the request was sent.
@@ -104,7 +108,7 @@
 
 impl Refusal {
     /// All refusals, for parsing, counters and tests.
-    pub const ALL: [Refusal; 19] = [
+    pub const ALL: [Refusal; 21] = [
         Refusal::NoService,
         Refusal::UnusableRoute,
         Refusal::Malformed,
@@ -121,6 +125,8 @@
         Refusal::Claimed,
         Refusal::KeyReused,
         Refusal::NotReady,
+        Refusal::Stopping,
+        Refusal::CutOff,
         Refusal::TimedOut,
         Refusal::Broken,
         Refusal::Unframed,
@@ -145,6 +151,8 @@
             Refusal::Claimed => "claimed",
             Refusal::KeyReused => "key-reused",
             Refusal::NotReady => "not-ready",
+            Refusal::Stopping => "stopping",
+            Refusal::CutOff => "cut-off",
             Refusal::TimedOut => "timed-out",
             Refusal::Broken => "broken",
             Refusal::Unframed => "unframed",
@@ -154,9 +162,11 @@
     /// Whether the request may have run, given that it was refused with this code.
     pub const fn outcome(self) -> Outcome {
         match self {
-            Refusal::Claimed | Refusal::TimedOut | Refusal::Broken | Refusal::Unframed => {
-                Outcome::Unknown
-            }
+            Refusal::Claimed
+            | Refusal::CutOff
+            | Refusal::TimedOut
+            | Refusal::Broken
+            | Refusal::Unframed => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
     }
@@ -171,7 +181,7 @@
             Refusal::KeyReused => 422,
             Refusal::Misdirected => 421,
             Refusal::TimedOut => 504,
-            Refusal::Unreachable | Refusal::Broken | Refusal::Unframed => 502,
+            Refusal::Unreachable | Refusal::CutOff | Refusal::Broken | Refusal::Unframed => 502,
             _ => 503,
         }
     }
@@ -183,6 +193,8 @@
                 None
             }
             Refusal::StoreUnavailable | Refusal::Claimed => Some(Duration::from_secs(5)),
+            // The other hosts serve on.
+            Refusal::Stopping => Some(Duration::from_millis(50)),
             _ => Some(Duration::from_secs(1)),
         }
     }
@@ -215,6 +227,8 @@
             Refusal::Claimed => "a request with this idempotency key is running or has run",
             Refusal::KeyReused => "the idempotency key came with a different request before",
             Refusal::NotReady => "the host has not learned what is in force",
+            Refusal::Stopping => "the host stops before the request could be done",
+            Refusal::CutOff => "the host stopped after the request was sent",
             Refusal::TimedOut => "the time limit passed after the request was sent",
             Refusal::Broken => "the connection broke after the request was sent",
             Refusal::Unframed => "the answer of the backend server does not say where it ends",
