--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -7,6 +7,7 @@
     fs::File,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -816,8 +817,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// The option of `prctl` by which a process gets a signal when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -842,6 +847,18 @@
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
+/// An address that is free now, below the ports that the system gives to outgoing connections.
+fn free_address() -> SocketAddr {
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let tried = TRIED.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + (std::process::id() * 101 + tried) % 18_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().unwrap();
+        }
+    }
+}
+
 /// A folder for settings and logs, under `TMPDIR`.
 pub fn scratch() -> PathBuf {
     let folder = std::env::temp_dir().join(format!("oleanderspan-review-{}", std::process::id()));
@@ -851,10 +868,7 @@
 
 impl Gateway {
     pub fn start(record: &Record, name: &str, zone: &str, store: SocketAddr) -> Gateway {
-        // Held together until all are known, so that they differ.
-        let ports: Vec<_> = (0..5).map(|_| listen(0)).collect();
-        let at: Vec<SocketAddr> = ports.iter().map(|(_, address)| *address).collect();
-        drop(ports);
+        let at: Vec<SocketAddr> = (0..5).map(|_| free_address()).collect();
         let settings = format!(
             "{{\"host\":\"{name}\",\"zone\":\"{zone}\",\"cores\":0.2,\"zones\":{ZONES},\"listen\":{{\
              \"callers\":\"{}\",\"ready\":\"{}\",\"directory\":\"{}\",\"peers\":\"{}\",\
@@ -956,11 +970,17 @@
     let out = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("no log");
     let errors = out.try_clone().unwrap();
     // `run` of the role in deploy/system.toml.
-    Command::new("target/release/oleanderspan-platform")
-        .env("OLEANDERSPAN_SETTINGS", settings)
-        .stdin(Stdio::null())
-        .stdout(out)
-        .stderr(errors)
+    let mut command = Command::new("target/release/oleanderspan-platform");
+    command.env("OLEANDERSPAN_SETTINGS", settings).stdin(Stdio::null()).stdout(out).stderr(errors);
+    // SAFETY: the call touches nothing but the new process, which then ends with the script in any
+    // case.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
+    }
+    command
         .spawn()
         .expect("target/release/oleanderspan-platform does not start")
 }
