--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,5 +1,5 @@
 //! A busy region, a route bound to it, slots borrowed from another region, and one instance that is
-//! full for some seconds and says so with 503 and `Retry-After`: the gateway stops answering anybody.
+//! full for some seconds and says so with 503 and `Retry-After`: the region's gateways stop answering.
 #[path = "../kit/kit.rs"]
 mod kit;
 
@@ -63,8 +63,8 @@
     heartbeats(&store, &instances, &stop);
     let home = Gateway::start(&record, "front-pl", "pl-nord", store.address);
     let other = Gateway::start(&record, "front-cp", "cp-est", store.address);
-    home.wait_until_ready();
-    other.wait_until_ready();
+    let second = Gateway::start(&record, "front-pl-2", "pl-sud", store.address);
+    [&home, &second, &other].into_iter().for_each(Gateway::wait_until_ready);
     thread::sleep(ms(3_000));
 
     // (sent at, answer) of the clients of the busy region.
@@ -102,7 +102,8 @@
             record.say("i-pl-2 takes requests again");
             refuses.store(false, Ordering::SeqCst);
         }
-        clients.push(client(home.front, "/pl/1", format!("pl-{n}")));
+        let front = if n % 2 == 0 { home.front } else { second.front };
+        clients.push(client(front, "/pl/1", format!("pl-{n}")));
         if n % 10 == 0 {
             clients.push(client(other.front, "/cp/1", format!("cp-{n}")));
         }
@@ -125,9 +126,12 @@
     clients.into_iter().for_each(|client| client.join().unwrap());
     let ready: Vec<bool> = readiness.into_iter().map(|asked| asked.join().unwrap()).collect();
     stop.store(true, Ordering::SeqCst);
-    let cpu = home.cpu_ms();
-    thread::sleep(ms(1_000));
-    record.say(&format!("front-pl used {} ms of processor time in the last second", home.cpu_ms() - cpu));
+    for gateway in [&home, &second] {
+        let (cpu, is_ready) = (gateway.cpu_ms(), gateway.is_ready());
+        thread::sleep(ms(1_000));
+        let cpu = gateway.cpu_ms() - cpu;
+        record.say(&format!("{} at the end: ready {is_ready}, processor time {cpu} ms", gateway.name));
+    }
 
     let answers = answers.lock().unwrap();
     let served = answers.iter().filter(|(_, answer)| answer.status == 200).count();
@@ -152,5 +156,5 @@
         (false, true) => "CONFIG held",
         (false, false) => "the case could not run",
     });
-    exit(if is_broken { 1 } else if can_run { 0 } else { 2 }, &[&home, &other]);
+    exit(if is_broken { 1 } else if can_run { 0 } else { 2 }, &[&home, &second, &other]);
 }
