Look at each waiter once when the queue is served

Cause: serve_queue went on while a slot of the region was free, and grant could use none of them, as the host of the waiter had to back off from that server; nothing fell with each round. Change: a pass compares each waiter once, in order, with its own criteria, and takes a slot only for it; who can use none is passed over and comes first in the next pass. One thread serves at a time, and covers the calls made meanwhile. Waiters behind 16 that had to back off are no longer left beside a slot that suits them. Each loop states what falls.

--- a/crates/oleanderspan/src/backend/pool.rs
+++ b/crates/oleanderspan/src/backend/pool.rs
@@ -19,7 +19,7 @@
 };
 
 use locality::ServerQueue;
-use waiting::{QueuedWaiter, RANKS};
+use waiting::{QueuedWaiter, RANKS, Unservable};
 
 /// A server whose latency exceeds this percentage of the pool's typical latency counts as slow.
 const SLOW_PERCENT: u64 = 250;
@@ -46,10 +46,6 @@
 /// Resolution at which eviction ages are compared.
 const EVICTION_AGE_STEP: Duration = Duration::from_millis(500);
 
-/// Number of waiters whose host backs off from the server of a free slot after which the queue is
-/// left alone until the next release or the next call by the timer.
-const MAX_BACKOFF_TRIES: u32 = 16;
-
 /// How the queue behaves under overload.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum OverloadPolicy {
@@ -62,28 +58,11 @@
     ServeUntilLimit,
 }
 
-/// Where slots are free, which decides who of the waiters can be served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum FreeSlots {
-    /// In the region of the pool, so that any waiter can be served.
-    InRegion,
-    /// In other regions only, so that waiters bound to the region cannot be served.
-    Borrowed,
-}
-
-/// A slot that a waiter did not take.
-struct Returned {
-    server: Arc<Server>,
-    /// Whether the waiter's host must back off from the server, so that another waiter may take the
-    /// slot.
-    is_backed_off: bool,
-}
-
 /// Dispatches requests to servers, first come first served within a rank.
 ///
-/// A slot is taken before a waiter is removed from the queue, and the queue is checked again after
-/// every release of a slot, so no waiter is left behind while a slot is free. No operation takes a
-/// lock: the queues and all counts are atomics, and each waiter is woken by its own signal.
+/// The queue is served after every event that may free a slot, so no waiter is left behind while a
+/// slot that it may use is free. No operation takes a lock: the queues and all counts are atomics,
+/// and each waiter is woken by its own signal.
 #[derive(Debug)]
 pub struct Pool<W> {
     /// The region whose servers are preferred; `None` if all are equally near.
@@ -91,9 +70,14 @@
     members: ArcSwap<Members<W>>,
     limiter: Limiter,
     queues: [SegQueue<QueuedWaiter<W>>; RANKS],
-    /// Waiters bound to the region that were passed over because only borrowed slots were free.
-    /// They precede the other waiters of their rank as soon as a slot of the region is free.
+    /// Waiters that were passed over because they could use none of the free slots. They precede
+    /// the other waiters of their rank as soon as a slot that suits them is free.
     passed_over: [SegQueue<QueuedWaiter<W>>; RANKS],
+    /// Number of calls to serve the queue that the thread serving it has yet to cover.
+    serve_calls: AtomicU32,
+    /// The latest time of such a call, in nanoseconds of the clock.
+    serve_nanos: AtomicU64,
+    examined: AtomicU64,
     overload: OverloadPolicy,
     /// Whether the pool has been overloaded since the queue was last empty.
     overloaded: AtomicBool,
@@ -156,6 +140,9 @@
             limiter: Limiter::new(0),
             queues: [const { SegQueue::new() }; RANKS],
             passed_over: [const { SegQueue::new() }; RANKS],
+            serve_calls: AtomicU32::new(0),
+            serve_nanos: AtomicU64::new(0),
+            examined: AtomicU64::new(0),
             overload,
             overloaded: AtomicBool::new(false),
             next_server: AtomicU32::new(0),
@@ -230,6 +217,12 @@
         length(&self.passed_over) + common * allowed / total.max(1)
     }
 
+    /// Number of times that a waiter of the shared queue was compared with the free slots since the
+    /// start of the process.
+    pub fn examined(&self) -> u64 {
+        self.examined.load(Ordering::Relaxed)
+    }
+
     /// Number of requests with an object that were placed since the start of the process.
     pub fn placed(&self) -> u64 {
         self.placed.load(Ordering::Relaxed)
@@ -253,15 +246,10 @@
         !self.passed_over.iter().all(SegQueue::is_empty)
     }
 
-    /// Whether a slot in the pool's own region is free.
-    fn has_free_in_region(&self, now: Instant) -> bool {
-        let servers = self.servers();
-        self.best_server(&servers, None, now, |server| !self.is_borrowed(server)).is_some()
-    }
-
-    /// Whether a free slot may have a waiter.
-    fn is_servable(&self, now: Instant) -> bool {
-        !self.is_queue_empty() || self.has_passed_over() && self.has_free_in_region(now)
+    /// Whether some slot is free.
+    fn has_free(&self, now: Instant) -> bool {
+        self.limiter.in_flight() < self.limiter.limit()
+            && self.best_server(&self.servers(), None, now, |_| true).is_some()
     }
 
     /// Records the latency of an answer to a request without an object.
@@ -317,7 +305,11 @@
 
     /// Takes a free slot, or returns `None` if none is free or requests are queued.
     pub fn try_acquire(&self) -> Option<Arc<Server>> {
-        if self.is_queue_empty() { self.take(Instant::ZERO) } else { None }
+        if self.is_queue_empty() {
+            self.take_where(None, None, Instant::ZERO, |_| true)
+        } else {
+            None
+        }
     }
 
     /// Takes a free slot that meets `criteria`, or returns `None` if there is none or requests are
@@ -389,146 +381,153 @@
     }
 
     /// Hands free slots to the waiters of the shared queue.
+    ///
+    /// One thread at a time does so, and serves the queue once more for calls made meanwhile. A
+    /// waiter that it holds is thus never missed by another thread that has just freed a slot.
     fn serve_queue(&self, now: Instant) {
-        let mut backed_off = 0;
-        while self.is_servable(now) {
-            let Some(server) = self.take(now) else { return };
-            let free = match !self.is_borrowed(&server) || self.has_free_in_region(now) {
-                true => FreeSlots::InRegion,
-                false => FreeSlots::Borrowed,
-            };
-            let granted = match self.next_waiter(free, now) {
-                Some(queued) => self.grant(queued, server, now),
-                None => Err(Returned { server, is_backed_off: false }),
-            };
-            if let Err(Returned { server, is_backed_off }) = granted {
-                server.release_slot();
-                self.limiter.release();
-                backed_off += u32::from(is_backed_off);
-                if backed_off > MAX_BACKOFF_TRIES {
-                    return;
+        self.serve_nanos.fetch_max(now.as_nanos(), Ordering::SeqCst);
+        let is_idle = self.serve_calls.load(Ordering::SeqCst) == 0;
+        if is_idle && self.is_queue_empty() && !self.has_passed_over() {
+            return;
+        }
+        if self.serve_calls.fetch_add(1, Ordering::SeqCst) > 0 {
+            return;
+        }
+        let (mut covered, mut now) = (1, now);
+        // Each round covers at least one further call, so the rounds end with the calls.
+        loop {
+            self.serve_each(now);
+            let done =
+                self.serve_calls.compare_exchange(covered, 0, Ordering::SeqCst, Ordering::SeqCst);
+            let Err(calls) = done else { return };
+            covered = calls;
+            now = Instant::from_nanos(self.serve_nanos.load(Ordering::SeqCst));
+        }
+    }
+
+    /// Compares each waiter with the free slots, in order, until no slot is free.
+    fn serve_each(&self, now: Instant) {
+        let mut unservable = Unservable::default();
+        for (queue, passed_over) in self.queues.iter().zip(&self.passed_over) {
+            self.serve_passed_over(passed_over, &mut unservable, now);
+            // Waiters that join meanwhile are served by the call of their own thread, so that the
+            // count falls with each waiter.
+            let mut remaining = queue.len();
+            while remaining > 0 && self.has_free(now) {
+                remaining -= 1;
+                let Some(queued) = queue.pop() else { break };
+                if let Some(queued) = self.serve_waiter(queued, &mut unservable, now) {
+                    passed_over.push(queued);
                 }
             }
         }
     }
 
-    /// Hands a taken slot, or a free one that suits the waiter better, to a waiter. Returns the
-    /// slot if the waiter cannot use it or no longer waits.
-    fn grant(
+    /// Compares the passed-over waiters of a rank with the free slots; those left keep their order.
+    fn serve_passed_over(
         &self,
-        queued: QueuedWaiter<W>,
-        taken: Arc<Server>,
+        passed_over: &SegQueue<QueuedWaiter<W>>,
+        unservable: &mut Unservable,
         now: Instant,
-    ) -> Result<(), Returned> {
-        let criteria = &queued.criteria;
-        let mut server = self.swap_for_preferred(Arc::clone(&taken), criteria, now);
-        let mut has_passed = !Arc::ptr_eq(&server, &taken);
-        if !criteria.allows_region_of(&server) {
-            // Only the excluded server may be free in the region.
-            let (region, sender) = (criteria.region, criteria.sender);
-            let in_region = Criteria { region, sender, ..Criteria::default() };
-            let other = self.swap_for_preferred(Arc::clone(&server), &in_region, now);
-            has_passed |= !Arc::ptr_eq(&server, &other);
-            server = other;
+    ) {
+        let mut has_left = false;
+        // Only the serving thread adds waiters here, so that each is taken out once.
+        for _ in 0..passed_over.len() {
+            let has_free = self.has_free(now);
+            if !has_free && !has_left {
+                return;
+            }
+            let Some(queued) = passed_over.pop() else { return };
+            let left = match has_free {
+                true => self.serve_waiter(queued, unservable, now),
+                false => Some(queued),
+            };
+            if let Some(queued) = left {
+                passed_over.push(queued);
+                has_left = true;
+            }
         }
-        if !criteria.allows_region_of(&server) {
-            // Another request took the last slot in the region.
-            self.passed_over[usize::from(queued.rank.0)].push(queued);
-            return Err(Returned { server, is_backed_off: false });
+    }
+
+    /// Hands a free slot to a waiter. Returns the waiter if none of the free slots suits it.
+    fn serve_waiter(
+        &self,
+        queued: QueuedWaiter<W>,
+        unservable: &mut Unservable,
+        now: Instant,
+    ) -> Option<QueuedWaiter<W>> {
+        self.examined.fetch_add(1, Ordering::Relaxed);
+        if self.is_stale(&queued, now) {
+            queued.waiter.refuse();
+            return None;
         }
-        if has_passed || server.notice().try_pass(criteria.sender, now) {
-            let granted = queued.waiter.grant(server);
-            return granted.map_err(|server| Returned { server, is_backed_off: false });
+        let criteria = &queued.criteria;
+        if unservable.contains(criteria) {
+            return Some(queued);
         }
-        // At the origin of the clock, times that have ended long since look as if they lay ahead.
-        let may_wait = |server: &Arc<Server>| criteria.may_wait_for(server, now);
-        if now == Instant::ZERO || self.servers().iter().any(may_wait) {
-            self.queues[usize::from(queued.rank.0)].push(queued);
-        } else {
+        let preferred = |server: &Server| criteria.allows(server, now);
+        let usable = |server: &Server| criteria.allows_excluded(server, now);
+        let server = self.take_where(None, criteria.sender, now, preferred);
+        let server = match criteria.excluded {
+            Some(_) => server.or_else(|| self.take_where(None, criteria.sender, now, usable)),
+            None => server,
+        };
+        let Some(server) = server else {
+            // At the origin of the clock, times that have ended long since look as if they lay
+            // ahead.
+            let may_wait = |server: &Arc<Server>| criteria.may_wait_for(server, now);
+            if now == Instant::ZERO || self.servers().iter().any(may_wait) {
+                unservable.insert(criteria);
+                return Some(queued);
+            }
             queued.waiter.refuse();
+            return None;
+        };
+        let server = self.swap_for_cached(server, criteria, now);
+        if let Err(server) = queued.waiter.grant(server) {
+            server.release_slot();
+            self.limiter.release();
         }
-        Err(Returned { server, is_backed_off: true })
+        None
     }
 
-    /// Takes the next waiter that can use a free slot. From the onset of overload until the queue
-    /// has been empty, refuses waiters that were not queued recently.
+    /// Whether a waiter has waited too long. From the onset of overload until the queue has been
+    /// empty, that holds for all waiters that were not queued recently.
     ///
     /// Otherwise an overload would leave a queue in which every request waits almost as long as its
     /// limit, and which persists long after the overload; see `docs/MEASURES.md`, "Overload".
-    fn next_waiter(&self, free: FreeSlots, now: Instant) -> Option<QueuedWaiter<W>> {
-        let mut queued = self.pop(free)?;
+    fn is_stale(&self, queued: &QueuedWaiter<W>, now: Instant) -> bool {
         if self.overload == OverloadPolicy::ServeUntilLimit {
-            while queued.has_waited_over(100, now) {
-                queued.waiter.refuse();
-                queued = self.pop(free)?;
-            }
-            return Some(queued);
+            return queued.has_waited_over(100, now);
         }
         if queued.has_waited_over(OVERLOAD_WAIT_PERCENT, now) {
             self.overloaded.store(true, Ordering::Relaxed);
         }
-        if self.overloaded.load(Ordering::Relaxed) {
-            while queued.has_waited_over(MAX_OVERLOADED_WAIT_PERCENT, now) {
-                queued.waiter.refuse();
-                queued = self.pop(free)?;
-            }
-        }
-        Some(queued)
+        self.overloaded.load(Ordering::Relaxed)
+            && queued.has_waited_over(MAX_OVERLOADED_WAIT_PERCENT, now)
     }
 
-    /// Takes the first waiter that can use a free slot; sets those aside that cannot.
-    fn pop(&self, free: FreeSlots) -> Option<QueuedWaiter<W>> {
-        for (queue, passed_over) in self.queues.iter().zip(&self.passed_over) {
-            if free == FreeSlots::InRegion
-                && let Some(queued) = passed_over.pop()
-            {
-                return Some(queued);
-            }
-            while let Some(queued) = queue.pop() {
-                if free == FreeSlots::InRegion || queued.criteria.region.is_none() {
-                    return Some(queued);
-                }
-                passed_over.push(queued);
-            }
-        }
-        None
-    }
-
-    /// Exchanges a taken slot for a free one that suits the request better: on a server that has
-    /// cached its object, or on a server that meets `criteria` if the taken one does not.
-    fn swap_for_preferred(
+    /// Exchanges a taken slot for a free one on a server that has cached the object of the request.
+    fn swap_for_cached(
         &self,
         taken: Arc<Server>,
         criteria: &Criteria,
         now: Instant,
     ) -> Arc<Server> {
-        let is_disallowed = !criteria.allows(&taken, now);
+        let Some(object) = criteria.object else { return taken };
         let has_cached =
-            |server: &Server, object| self.cache_model.is_cached(server.reuse_distance(object));
-        let is_cached = criteria.object.is_none_or(|object| has_cached(&taken, object));
-        if !is_disallowed && is_cached {
+            |server: &Server| self.cache_model.is_cached(server.reuse_distance(object));
+        if has_cached(&taken) {
             return taken;
         }
-        let is_preferred = |server: &Server| {
-            criteria.allows(server, now)
-                && (is_disallowed
-                    || criteria.object.is_some_and(|object| has_cached(server, object)))
-        };
-        let servers = self.servers();
-        while let Some(server) = self.best_server(&servers, criteria.object, now, is_preferred) {
-            if server.try_acquire_slot() {
-                if passes(server, criteria.sender, now) {
-                    taken.release_slot();
-                    return Arc::clone(server);
-                }
-                server.release_slot();
+        let usable = |server: &Server| criteria.allows(server, now) && has_cached(server);
+        match self.take_slot(Some(object), criteria.sender, now, usable) {
+            Some(server) => {
+                taken.release_slot();
+                server
             }
+            None => taken,
         }
-        taken
-    }
-
-    fn take(&self, now: Instant) -> Option<Arc<Server>> {
-        self.take_where(None, None, now, |_| true)
     }
 
     fn take_where(
@@ -541,19 +540,41 @@
         if !self.limiter.try_acquire() {
             return None;
         }
+        let taken = self.take_slot(object, sender, now, usable);
+        if taken.is_none() {
+            self.limiter.release();
+        }
+        taken
+    }
+
+    /// Takes a slot of the best server, for a request that the ceiling admits.
+    fn take_slot(
+        &self,
+        object: Option<Object>,
+        sender: Option<Sender>,
+        now: Instant,
+        usable: impl Fn(&Server) -> bool,
+    ) -> Option<Arc<Server>> {
         let servers = self.servers();
-        // A lost race for the last slot of a server means that another request took it, so the loop
-        // ends after at most as many rounds as there are slots.
-        while let Some(server) = self.best_server(&servers, object, now, &usable) {
+        // Each round either returns or leaves out one more server, so there are at most as many
+        // rounds as servers. Another thread that takes the last slot serves the queue later.
+        let mut failed: Vec<&Arc<Server>> = Vec::new();
+        let is_left = |server: &Server, failed: &[&Arc<Server>]| {
+            !failed.iter().any(|failed| std::ptr::eq(&***failed, server))
+        };
+        loop {
+            let best = self.best_server(&servers, object, now, |server| {
+                is_left(server, &failed) && usable(server)
+            });
+            let server = best?;
             if server.try_acquire_slot() {
                 if passes(server, sender, now) {
                     return Some(Arc::clone(server));
                 }
                 server.release_slot();
             }
+            failed.push(server);
         }
-        self.limiter.release();
-        None
     }
 
     /// Takes a slot of this server if the ceiling and the server's cold-start limit admit it.
--- a/crates/oleanderspan/src/backend/pool/waiting.rs
+++ b/crates/oleanderspan/src/backend/pool/waiting.rs
@@ -66,9 +66,12 @@
 
 impl Criteria {
     pub(super) fn allows(&self, server: &Server, now: Instant) -> bool {
-        self.excluded.as_ref() != Some(&server.identity.name)
-            && self.allows_region_of(server)
-            && server.notice().is_open(self.sender, now)
+        self.excluded.as_ref() != Some(&server.identity.name) && self.allows_excluded(server, now)
+    }
+
+    /// Whether the server may run the request, even if it is the excluded one.
+    pub(super) fn allows_excluded(&self, server: &Server, now: Instant) -> bool {
+        self.allows_region_of(server) && server.notice().is_open(self.sender, now)
     }
 
     /// Whether the server may be sent the request once it has a free slot.
@@ -106,3 +109,20 @@
         now.since(self.since) > self.limit * percent / 100
     }
 }
+
+/// The criteria of waiters that no free slot suits, so that others with the same need not be
+/// compared with all servers again.
+#[derive(Debug, Default)]
+pub(super) struct Unservable(Vec<(Option<region::Index>, Option<Sender>)>);
+
+impl Unservable {
+    /// Whether no free slot suits a waiter with these criteria.
+    pub(super) fn contains(&self, criteria: &Criteria) -> bool {
+        self.0.contains(&(criteria.region, criteria.sender))
+    }
+
+    /// Records that no free slot suits a waiter, not even one on its excluded server.
+    pub(super) fn insert(&mut self, criteria: &Criteria) {
+        self.0.push((criteria.region, criteria.sender));
+    }
+}
