Notice polls that a silent store has swallowed

Cause: nothing but its answer, or a report that another host had read a later change, ended a poll; all hosts of a region lose theirs at the same moment, as they ask at the same moment. Change: one host of a region, a host after changes, and a lone host keep polls of 2.5 s, others of 30 s; a poll 1 s overdue is lost; whole reads are sent again each second; the first answer after silence repeats all earlier calls of the process and, by pings, of the region.

--- a/crates/node/src/gateway/arbiter.rs
+++ b/crates/node/src/gateway/arbiter.rs
@@ -211,6 +211,7 @@
         // A ping proves that its sender is alive.
         if let Ok(name) = entry::Name::try_from(ping.host.as_str()) {
             feed::record_changes(state, &name, &ping.changes);
+            state.record_silence(&name, ping.silence_age_ms);
             state.update(|view, now| view.roster.record_answer(&name, ping.is_leaving, now));
         }
         let liveness_reports = {
--- a/crates/node/src/gateway/follow.rs
+++ b/crates/node/src/gateway/follow.rs
@@ -1,6 +1,7 @@
 //! Follows a topic of the platform's store: from the store itself, from the host that reads it for
 //! the zone, or from any host that has read a later change.
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use oleanderspan::{
     entry::{
         self, Version,
@@ -17,12 +18,13 @@
     clock::ThreadRandom,
     gateway::{
         Source, State, feed,
-        source::{Error, Row, Rows, Topic},
+        source::{Error, Page, Row, Rows, Topic},
     },
 };
 
-/// How long a long poll for changes stays open at the store.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(20_000);
+/// The interval between calls for a whole topic while none of them is answered. A store that was
+/// silent answers only calls sent after that, and a slow one still answers the first.
+const RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Minimum time for which a long poll stays open at the store.
 const MIN_POLL_TIMEOUT: Duration = Duration::from_millis(200);
@@ -36,9 +38,6 @@
 /// How long this host reads from the store itself after the host that reads for it has failed.
 const DIRECT_READ_PERIOD: Duration = Duration::from_millis(3_000);
 
-/// How long a read of a whole topic may take while other hosts have read later changes.
-const MAX_LIST_LAG: Duration = Duration::from_millis(1_500);
-
 /// Rows of a topic and where this host has them from.
 #[derive(Debug)]
 pub struct Update<'a> {
@@ -86,6 +85,10 @@
     hint: Option<entry::Name>,
     /// How long this host has waited since the store's latest answer.
     pause: Duration,
+    /// Whether the store has told of changes, or a call was given up, since the latest poll that
+    /// ended without changes. Further changes are likely then, and other hosts ask for them at the
+    /// same moment, so that all of their polls may be lost together.
+    is_active: bool,
 }
 
 impl<'a, S: Source> Follower<'a, S> {
@@ -101,6 +104,7 @@
             direct_until: Instant::ZERO,
             hint: None,
             pause: Duration::ZERO,
+            is_active: true,
         }
     }
 
@@ -135,7 +139,7 @@
     ) -> bool {
         let (state, topic) = (self.state, self.topic);
         let read = fetch(state, self.source, topic, after, peer);
-        match self.unless_late(after, topic.max_lag(), read).await {
+        match self.unless_late(after, self.max_lag(), read).await {
             Some(Ok((version, rows))) => {
                 self.position = Some(version);
                 feed::record_answer(state, topic, version, rows.latest);
@@ -159,18 +163,23 @@
         let wait = self.poll_timeout();
         let after = self.position.filter(|_| self.unavailable_since.is_none());
         let read = call(state, self.source, topic, after, wait);
-        let read = match (self.position, after) {
-            (Some(position), Some(_)) => self.unless_late(position, topic.max_lag(), read).await,
-            (Some(position), None) => self.unless_late(position, MAX_LIST_LAG, read).await,
-            (None, _) => Some(read.await),
+        let max_lag = self.max_lag();
+        let read = async {
+            match self.position {
+                Some(position) => self.unless_late(position, max_lag, read).await,
+                None => Some(read.await),
+            }
         };
+        let read = unless_lost(state, topic, began, read).await;
         match read {
-            Some(Ok((version, rows))) => {
+            Some(Ok(Answer { sent_at, version, rows })) => {
                 self.backoff = MIN_BACKOFF;
                 if let Some(since) = self.unavailable_since.take() {
                     self.log_recovery(since, "it answers this host");
                     accept_missing_servers(state);
+                    state.silence.send_modify(|silence| silence.record_end(sent_at));
                 }
+                self.is_active = !rows.rows.is_empty();
                 let is_restored = self.record_era(version);
                 self.position = Some(version);
                 feed::record_answer(state, topic, version, rows.latest);
@@ -203,7 +212,7 @@
                 tokio::time::sleep(jitter(self.backoff, &mut ThreadRandom)).await;
                 self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
             }
-            None => {}
+            None => self.is_active = true,
         }
     }
 
@@ -247,16 +256,24 @@
     }
 
     /// How long the next poll stays open at the store. In a zone with a shared reader it is short,
-    /// so that the reader can vouch for the store, and the others return to the reader.
+    /// so that the reader can vouch for the store, and the others return to the reader. Elsewhere
+    /// one host of the region confirms that the store answers, and reports if it did not.
     fn poll_timeout(&self) -> Duration {
         let settings = &self.state.settings;
         let now = self.state.clock.now();
-        match self.state.view().roster.shares_reader(settings.zone, now) {
-            true => {
-                self.topic.confirmation_interval().saturating_sub(self.pause).max(MIN_POLL_TIMEOUT)
-            }
-            false => LONG_POLL_TIMEOUT,
+        let view = self.state.view();
+        let roster = &view.roster;
+        if roster.shares_reader(settings.zone, now) {
+            let interval = self.topic.confirmation_interval();
+            return interval.saturating_sub(self.pause).max(MIN_POLL_TIMEOUT);
         }
+        let confirms = self.topic == Topic::Operator && roster.confirms_store(&settings.host, now);
+        self.topic.poll_timeout(self.is_active || confirms || roster.is_alone(now))
+    }
+
+    /// How long this host waits for a change that another host has already read.
+    fn max_lag(&self) -> Duration {
+        self.topic.max_lag(self.state.view().roster.expected_readers() + 1)
     }
 
     /// Returns whether the store has started a new era since the last answer, with rows missing
@@ -291,6 +308,54 @@
     });
 }
 
+/// Waits for an answer to a call sent at `sent_at`, or returns `None` once the store is known to
+/// have been silent since.
+async fn unless_lost<T>(
+    state: &State,
+    topic: Topic,
+    sent_at: Instant,
+    answer: impl Future<Output = Option<T>>,
+) -> Option<T> {
+    let mut silence = state.silence.subscribe();
+    tokio::select! {
+        biased;
+        answer = answer => answer,
+        // Fails only if the sender is gone, which `state` owns.
+        _ = silence.wait_for(|silence| silence.may_have_lost(sent_at)) => {
+            info!(state.log, "store was silent meanwhile; repeating the call";
+                "topic" => topic.as_str(),
+                "waited_ms" => state.clock.now().since(sent_at).as_millis());
+            None
+        }
+    }
+}
+
+/// An answer of the store.
+struct Answer {
+    /// When the call that it answers was sent.
+    sent_at: Instant,
+    version: Version,
+    rows: Rows,
+}
+
+/// Reads all rows of a topic, and asks again while there is no answer. Returns the first answer and
+/// when its call was sent.
+async fn list<S: Source>(
+    state: &State,
+    source: &S,
+    topic: Topic,
+) -> (Instant, Result<Vec<Page>, Error>) {
+    let mut calls = FuturesUnordered::new();
+    loop {
+        let sent_at = state.clock.now();
+        calls.push(async move { (sent_at, source.list(topic).await) });
+        // The first call ends by its own time-out at the latest, which bounds their number.
+        if let Ok(Some(answer)) = tokio::time::timeout(RESEND_INTERVAL, calls.next()).await {
+            return answer;
+        }
+    }
+}
+
 /// Reads a topic in full if `after` is `None`, otherwise its changes since that version, and
 /// publishes them to the other hosts of the zone.
 async fn call<S: Source>(
@@ -299,9 +364,10 @@
     topic: Topic,
     after: Option<Version>,
     wait: Duration,
-) -> Result<(Version, Rows), Error> {
+) -> Result<Answer, Error> {
     let Some(after) = after else {
-        let pages = source.list(topic).await?;
+        let (sent_at, pages) = list(state, source, topic).await;
+        let pages = pages?;
         let version = pages.first().map_or(Version::default(), |page| page.version);
         if pages.iter().any(|page| page.version.era != version.era) {
             return Err(Error::HistoryTruncated);
@@ -313,8 +379,9 @@
             rows.latest = rows.latest.max(page.latest);
         }
         state.feed(topic).restart(version, state.clock.now() + topic.confirmation_validity());
-        return Ok((version, rows));
+        return Ok(Answer { sent_at, version, rows });
     };
+    let sent_at = state.clock.now();
     let page = source.follow(topic, after.number, wait).await?;
     // The store has come back from an older copy. Its numbers may have passed the one asked for, so
     // that the page lacks the changes below it.
@@ -325,7 +392,7 @@
     let version = page.version;
     let entry = Entry { after, version, page: page.bytes };
     state.feed(topic).push(entry, state.clock.now() + topic.confirmation_validity());
-    Ok((version, rows))
+    Ok(Answer { sent_at, version, rows })
 }
 
 /// Fetches the changes after a version from another host.
--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     gateway::{
-        message::{self, SLOT_PATH, ServerReport, SlotRequest},
+        message::{self, SLOT_PATH, ServerReport, SlotRequest, millis},
         slots::{self, AcquireError, Allocation},
         state::{Shared, is_usable},
     },
@@ -359,10 +359,6 @@
     Failure::NoAnswer(reason.to_string())
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Inserts the headers of a rejected slot request.
 pub fn insert_refusal_headers(headers: &mut http::HeaderMap, error: AcquireError) {
     headers.insert(names::REFUSAL, names::value(error.refusal.as_str()));
--- a/crates/node/src/gateway/message.rs
+++ b/crates/node/src/gateway/message.rs
@@ -99,6 +99,11 @@
     pub era: u64,
 }
 
+/// A time in messages.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Identifies the pinging host; the response identifies the pinged one in the same form.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Ping {
@@ -112,6 +117,10 @@
     /// The latest changes of the store that the sender has read.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<Change>,
+    /// How long ago a silence of the store ended that the sender has met, in milliseconds; absent
+    /// if there was none lately.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silence_age_ms: Option<u64>,
 }
 
 /// The latest change of a topic that a host has read.
--- a/crates/node/src/gateway/peers.rs
+++ b/crates/node/src/gateway/peers.rs
@@ -11,7 +11,7 @@
     codec,
     gateway::{
         State, feed,
-        message::{self, Liveness, PING_PATH, Ping},
+        message::{self, Liveness, PING_PATH, Ping, millis},
         state::Shared,
     },
     http::{client, server},
@@ -41,8 +41,17 @@
 /// changes.
 pub async fn run(state: State) {
     let mut before: Vec<Peer> = Vec::new();
+    let mut silence = state.silence.subscribe();
     for round in 0.. {
-        tokio::time::sleep(roster::PROBE_INTERVAL).await;
+        // Others may be waiting for a call that was lost in the same silence.
+        let has_met_silence = async {
+            let _ = silence.changed().await;
+            let now = state.clock.now();
+            if silence.borrow_and_update().report(now).is_none() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let _ = tokio::time::timeout(roster::PROBE_INTERVAL, has_met_silence).await;
         let zone = state.settings.zone;
         let peers: Vec<Peer> = {
             let view = state.view();
@@ -75,6 +84,7 @@
         is_leaving: state.stop.has_begun() || !state.snapshot().is_ready(),
         liveness,
         changes: feed::latest_changes(state),
+        silence_age_ms: state.silence_age().map(millis),
     }
 }
 
@@ -93,6 +103,7 @@
                 && answer.host == peer.name.as_str()
             {
                 feed::record_changes(&state, &peer.name, &answer.changes);
+                state.record_silence(&peer.name, answer.silence_age_ms);
                 state.update(|view, now| {
                     let roster = &mut view.roster;
                     let mut has_changed = roster.record_answer(&peer.name, answer.is_leaving, now);
--- a/crates/node/src/gateway/source.rs
+++ b/crates/node/src/gateway/source.rs
@@ -42,6 +42,13 @@
 /// How much later than expected an answer of the store may come: a slow one takes some 350 ms.
 const CONFIRMATION_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long a long poll stays open at the store where its loss must be noticed in time for the
+/// changes that follow. The store answers one host of a region this often.
+const CONFIRMATION_POLL: Duration = Duration::from_millis(2_500);
+
+/// How long any other long poll stays open at the store, which allows no longer one.
+const LONG_POLL: Duration = Duration::from_millis(30_000);
+
 /// How much later than another host this one may receive a change, beside the time for which
 /// changes are gathered: twice a round trip between regions, and the answer of a slow store.
 const MAX_LAG: Duration = Duration::from_millis(600);
@@ -77,6 +84,15 @@
         self.confirmation_interval().saturating_add(CONFIRMATION_MARGIN)
     }
 
+    /// How long a long poll stays open at the store in a zone without a shared reader.
+    /// `is_confirmed` is whether its loss would be noticed only as it ends.
+    pub const fn poll_timeout(self, is_confirmed: bool) -> Duration {
+        match (self, is_confirmed) {
+            (Topic::Operator | Topic::Servers, true) => CONFIRMATION_POLL,
+            (Topic::Operator | Topic::Servers, false) | (Topic::Hosts, _) => LONG_POLL,
+        }
+    }
+
     /// How long to wait after a change before the next call, so that further changes are read in
     /// the same batch. Each batch costs each of the `hosts` hosts that read the store one call, so
     /// the interval grows with their number.
@@ -93,12 +109,9 @@
     }
 
     /// How long this host waits for a change that another host has already read before it asks the
-    /// store again.
-    pub const fn max_lag(self) -> Duration {
-        match self {
-            Topic::Operator => MAX_LAG,
-            Topic::Servers | Topic::Hosts => MAX_BATCH_INTERVAL.saturating_add(MAX_LAG),
-        }
+    /// store again, if `hosts` hosts read the store.
+    pub fn max_lag(self, hosts: usize) -> Duration {
+        self.batch_interval(hosts).saturating_add(MAX_LAG)
     }
 
     /// The name in logs and in requests between hosts.
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -8,7 +8,7 @@
     availability::{self, Evacuations},
     backend::{self, Listing, Pool, Sender, Server, listing::ListedServer, pool::OverloadPolicy},
     entry::{
-        self, Grace, Roster, rank,
+        self, Grace, Roster, Silence, rank,
         roster::{self, Peer},
     },
     prelude::*,
@@ -17,7 +17,7 @@
     route::{Route, Table},
     service,
 };
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use tokio::sync::{SetOnce, watch};
 
 use crate::{
@@ -93,6 +93,8 @@
     pub foreign_lookups: AtomicU64,
     /// Observations about servers whose slots other hosts hand out, to be sent to these hosts.
     pub reports: SegQueue<ServerReport>,
+    /// The latest silence of the store, in which calls may have been lost.
+    pub silence: watch::Sender<Silence>,
     feeds: [Feed; Topic::ALL.len()],
     snapshot: ArcSwap<Snapshot>,
     view: Mutex<ClusterView>,
@@ -171,6 +173,7 @@
             returned_grants: AtomicU64::new(0),
             foreign_lookups: AtomicU64::new(0),
             reports: SegQueue::new(),
+            silence: watch::Sender::default(),
             feeds: std::array::from_fn(|_| Feed::default()),
             snapshot: ArcSwap::default(),
             view: Mutex::default(),
@@ -189,6 +192,21 @@
         &self.feeds[topic as usize]
     }
 
+    /// How long ago a silence of the store ended that this host has met, for other hosts.
+    pub fn silence_age(&self) -> Option<Duration> {
+        self.silence.borrow().report(self.clock.now())
+    }
+
+    /// Records another host's report of a silence of the store.
+    pub fn record_silence(&self, host: &entry::Name, age_ms: Option<u64>) {
+        let Some(age) = age_ms.map(Duration::from_millis) else { return };
+        let now = self.clock.now();
+        if self.silence.send_if_modified(|silence| silence.record_report(age, now)) {
+            info!(self.log, "store was silent to another host; repeating calls sent before";
+                "host" => %host, "age_ms" => age.as_millis());
+        }
+    }
+
     /// Applies `change` to the cluster view and, if it returns `true`, publishes a new snapshot.
     pub fn update(&self, change: impl FnOnce(&mut ClusterView, Instant) -> bool) {
         let mut view = self.lock();
--- a/crates/oleanderspan/src/entry.rs
+++ b/crates/oleanderspan/src/entry.rs
@@ -8,6 +8,7 @@
 pub mod membership;
 pub mod rank;
 pub mod roster;
+pub mod silence;
 pub mod version;
 
 pub use grace::Grace;
@@ -17,6 +18,7 @@
 pub use locate::{Answer, Directory, Policy};
 pub use membership::{Member, Membership};
 pub use roster::Roster;
+pub use silence::Silence;
 pub use version::Version;
 
 checked_name! {
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -184,6 +184,20 @@
         self.live_near(zone, now).count() + 1 >= SHARED_READER_MIN_HOSTS
     }
 
+    /// Whether this host confirms for its region that the store answers: the live host with the
+    /// highest rank for it. The others rely on its reports.
+    pub fn confirms_store(&self, own: &entry::Name, now: Instant) -> bool {
+        const TOPIC: &str = "store";
+        let live = self.peers.values().filter(|state| is_live(state, now) && !state.is_leaving);
+        let mut names = live.map(|state| state.peer.name.as_str());
+        names.all(|name| rank::weight(TOPIC, name) < rank::weight(TOPIC, own.as_str()))
+    }
+
+    /// Whether no other host of the region is live, so that none reports what this host misses.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        !self.peers.values().any(|state| is_live(state, now) && !state.is_leaving)
+    }
+
     /// The live hosts of a zone, except this one.
     fn live_near(&self, zone: availability::Index, now: Instant) -> impl Iterator<Item = &Peer> {
         let live =
