Let one host count the requests to a cold server

Cause: each host of another region counted the rate of a cold server for itself; two hosts of its region do so for a moment when the arbiter changes, each with a burst. Change: a host sends a cold server of another region nothing by its own count, and asks the arbiter there while all servers are cold; the rate has no burst; a new arbiter waits for a second.

--- a/crates/node/src/gateway/grant.rs
+++ b/crates/node/src/gateway/grant.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use oleanderspan::{
     availability::Topology,
-    backend::{self, Object, ReuseDistance, Server, pool::Criteria, server::Identity},
+    backend::{self, Object, Pool, ReuseDistance, Server, pool::Criteria, server::Identity},
     entry::{self, roster::Peer},
     prelude::*,
     region,
@@ -18,7 +18,9 @@
 use slog::{info, warn};
 
 use crate::{
+    entry::slot::QueuedRequest,
     gateway::{
+        lending,
         message::{self, SLOT_PATH, ServerReport, SlotRequest, millis},
         slots::{self, AcquireError, Allocation},
         state::{Shared, is_usable},
@@ -112,21 +114,28 @@
         let snapshot = state.snapshot();
         let time = requirements.time.after(state.clock.now().since(started_at));
         let is_own_region = requirements.region == state.settings.region;
-        let peer = snapshot
-            .remote_arbiter(&state.settings, requirements.service)
-            .filter(|_| is_own_region);
+        let pool = snapshot.pool(requirements.service, requirements.region).map(Arc::clone);
+        // Slots of warm servers in other regions are counted by each host for itself, as the arbiter
+        // there is a long way off. The rate of cold ones is counted by that arbiter alone.
+        let needs_remote = !is_own_region && pool.as_ref().is_some_and(|pool| is_cold(state, pool));
+        let peer = match is_own_region {
+            true => snapshot.remote_arbiter(&state.settings, requirements.service).cloned(),
+            false if needs_remote => {
+                lending::remote_arbiter(state, requirements.service, requirements.region)
+            }
+            false => None,
+        };
         let Some(peer) = peer else {
-            let pool = snapshot.pool(requirements.service, requirements.region).map(Arc::clone);
             if is_own_region && let Some(demand) = snapshot.demand(requirements.service) {
                 demand.record_request();
             }
             drop(snapshot);
+            let pool = pool.filter(|_| !needs_remote);
             let Some(pool) = pool else { return Err(slots::no_server()) };
             let allocation =
                 slots::acquire(&pool, state.clock, requirements.priority, time, criteria).await?;
             return Ok(Grant::Local(allocation));
         };
-        let peer = peer.clone();
         drop(snapshot);
         match request_slot(state, requirements, &criteria, time, &peer).await {
             Ok(grant) => return Ok(grant),
@@ -151,13 +160,26 @@
             Err(Failure::NoAnswer(reason)) => {
                 warn!(state.log, "slot request to the arbiter failed; recording a failure";
                     "request" => requirements.id, "host" => %peer.name, "reason" => reason);
-                state.update(|view, now| view.roster.record_failure(&peer.name, now));
+                state.update(|view, now| match is_own_region {
+                    true => view.roster.record_failure(&peer.name, now),
+                    false => {
+                        view.roster.record_remote_failure(&peer.name, now);
+                        false
+                    }
+                });
             }
         }
     }
     Err(AcquireError { refusal: Refusal::NotReady, retry_after: Refusal::NotReady.retry_after() })
 }
 
+/// Whether all servers of a pool that may be sent requests are cold.
+fn is_cold(state: &Shared, pool: &Pool<QueuedRequest>) -> bool {
+    let (servers, now) = (pool.servers(), state.clock.now());
+    let mut usable = servers.iter().filter(|server| is_usable(server)).peekable();
+    usable.peek().is_some() && usable.all(|server| server.cold().is_cold(now))
+}
+
 /// Why a granted server is not sent the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Unusable {
--- a/crates/node/src/gateway/lending.rs
+++ b/crates/node/src/gateway/lending.rs
@@ -232,7 +232,11 @@
 }
 
 /// The arbiter of a service in another region, as seen by this host's roster.
-fn remote_arbiter(state: &Shared, service: &service::Name, region: region::Index) -> Option<Peer> {
+pub fn remote_arbiter(
+    state: &Shared,
+    service: &service::Name,
+    region: region::Index,
+) -> Option<Peer> {
     let view = state.view();
     let peers = view.roster.remote_peers(region, state.clock.now());
     rank::highest(peers, service.as_str(), |peer| peer.name.as_str()).cloned()
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -45,6 +45,10 @@
 /// observer count requests at slightly different times, so using all of it could exceed the limit.
 const USABLE_RETRY_BUDGET_PERCENT: u32 = 60;
 
+/// How long a host that succeeds another as the arbiter of a service sends no requests to cold
+/// servers: the time over which their rate is counted.
+const COLD_HANDOVER: Duration = Duration::from_millis(1_000);
+
 /// Header and idle timeout of client connections until the first routes are loaded.
 const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -213,6 +217,7 @@
         let now = self.clock.now();
         if change(&mut view, now) {
             let snapshot = view.snapshot(&self.settings, now);
+            snapshot.hold_cold_servers(&self.snapshot(), &self.settings, now);
             self.snapshot.store(Arc::new(snapshot));
             debug!(self.log, "snapshot published"; "servers" => view.listing.len(),
                 "borrowed" => view.borrowed_servers(now),
@@ -268,7 +273,7 @@
     }
 
     fn snapshot(&mut self, settings: &Settings, now: Instant) -> Snapshot {
-        let servers = self.apply_server_flags(now);
+        let servers = self.apply_server_flags(settings.region, now);
         self.update_pools(settings, &servers, now);
         self.update_retry_budgets(settings);
         Snapshot {
@@ -283,11 +288,16 @@
     }
 
     /// Sets the evacuation and cold-start state of each server.
-    fn apply_server_flags(&self, now: Instant) -> Map<backend::Name, Arc<Server>> {
+    fn apply_server_flags(
+        &self,
+        own: region::Index,
+        now: Instant,
+    ) -> Map<backend::Name, Arc<Server>> {
         let apply = |(name, listed_server): (&backend::Name, &ListedServer)| {
             let server = &listed_server.server;
             let zone = listed_server.entry.location.zone;
             server.set_evacuated(self.evacuations.contains(zone));
+            server.cold().set_remote(listed_server.entry.location.region != own);
             let table = self.table.as_ref();
             if let Some(service) =
                 table.and_then(|table| table.service(&listed_server.entry.service))
@@ -443,6 +453,20 @@
         (weight(peer.name.as_str()) > weight(own)).then_some(peer)
     }
 
+    /// Delays the requests to cold servers of the services whose arbiter this host has become since
+    /// `before`. The previous arbiter has admitted some that this host has not counted.
+    fn hold_cold_servers(&self, before: &Snapshot, settings: &Settings, now: Instant) {
+        let is_arbiter =
+            |snapshot: &Snapshot, service| snapshot.remote_arbiter(settings, service).is_none();
+        let new = self
+            .services()
+            .filter(|service| is_arbiter(self, service) && !is_arbiter(before, service));
+        for pool in new.filter_map(|service| self.pool(service, settings.region)) {
+            let servers = pool.servers();
+            servers.iter().for_each(|server| server.cold().hold_until(now + COLD_HANDOVER));
+        }
+    }
+
     /// The region that serves requests of a route: the own region if the route allows it and it has
     /// usable servers, otherwise the first other region for which that is true.
     pub fn serving_region(
--- a/crates/oleanderspan/src/backend/cold.rs
+++ b/crates/oleanderspan/src/backend/cold.rs
@@ -1,6 +1,6 @@
 //! Slow start: limits the request rate of a server until it is warm.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use crate::prelude::*;
 
@@ -21,13 +21,11 @@
     }
 }
 
-/// Number of requests that may follow at once after a pause.
-const BURST_REQUESTS: u32 = 2;
-
 /// Limits the request rate of a recently started server.
 ///
-/// The rate is the server's limit for all hosts together. The burst is small so that the number of
-/// requests in any one second stays near that rate.
+/// The rate is the server's limit for all hosts together, so one host of the server's region counts
+/// its requests. Requests follow at intervals without a burst: two hosts that both count, while
+/// their views of the region differ, then stay within twice the rate and two requests.
 #[derive(Debug)]
 pub struct Limiter {
     /// When the server is warm, in nanoseconds of the clock.
@@ -35,6 +33,8 @@
     /// When the next request is due, in nanoseconds of the clock.
     due: AtomicU64,
     interval_nanos: AtomicU64,
+    /// Whether hosts of another region count the requests while the server is cold.
+    is_remote: AtomicBool,
 }
 
 impl Limiter {
@@ -44,9 +44,16 @@
             warm_at: AtomicU64::new(0),
             due: AtomicU64::new(0),
             interval_nanos: AtomicU64::new(0),
+            is_remote: AtomicBool::new(false),
         }
     }
 
+    /// Sets whether the server is in another region. While it is cold, this host then admits none
+    /// of its requests, as a host over there counts them.
+    pub fn set_remote(&self, is_remote: bool) {
+        self.is_remote.store(is_remote, Ordering::Relaxed);
+    }
+
     /// Limits requests to `rate` until `warm_at`, or until an already set later time.
     pub fn limit_until(&self, warm_at: Instant, rate: Rate) {
         let interval = rate.interval().unwrap_or(Duration::MAX);
@@ -56,11 +63,11 @@
     }
 
     /// Blocks all requests before `opens_at` while the server is cold. A host that has just started
-    /// does not know yet which host allocates the server's slots; several hosts that each applied
-    /// the full rate would exceed it together.
+    /// does not know yet which host allocates the server's slots, and one that succeeds another does
+    /// not know which requests that one has admitted; each applying the full rate, they would
+    /// exceed it together.
     pub fn hold_until(&self, opens_at: Instant) {
-        let due = opens_at.as_nanos().saturating_add(self.burst_allowance());
-        self.due.fetch_max(due, Ordering::Relaxed);
+        self.due.fetch_max(opens_at.as_nanos(), Ordering::Relaxed);
     }
 
     /// Whether requests are limited at `now`.
@@ -70,7 +77,7 @@
 
     /// Whether [`Limiter::try_pass`] would admit a request at `now`.
     pub fn is_open(&self, now: Instant) -> bool {
-        !self.is_cold(now) || self.due.load(Ordering::Relaxed) <= self.latest_due(now)
+        !self.is_cold(now) || (self.is_counted_here() && self.is_due(now))
     }
 
     /// Admits one request, or returns `false` if it would exceed the rate.
@@ -79,23 +86,17 @@
             return true;
         }
         let interval = self.interval_nanos.load(Ordering::Relaxed);
-        let latest = self.latest_due(now);
-        let pass =
-            |due: u64| (due <= latest).then_some(due.max(now.as_nanos()).saturating_add(interval));
-        self.due.fetch_update(Ordering::Relaxed, Ordering::Relaxed, pass).is_ok()
+        let now = now.as_nanos();
+        let pass = |due: u64| (due <= now).then_some(now.saturating_add(interval));
+        self.is_counted_here()
+            && self.due.fetch_update(Ordering::Relaxed, Ordering::Relaxed, pass).is_ok()
     }
 
-    /// The latest due time at which a request is admitted at `now`.
-    fn latest_due(&self, now: Instant) -> u64 {
-        now.as_nanos().saturating_add(self.burst_allowance())
+    fn is_counted_here(&self) -> bool {
+        !self.is_remote.load(Ordering::Relaxed)
     }
 
-    /// How long before its due time a request may be admitted, in nanoseconds.
-    fn burst_allowance(&self) -> u64 {
-        let interval = self.interval_nanos.load(Ordering::Relaxed);
-        let burst_allowance =
-            interval.checked_mul(u64::from(BURST_REQUESTS - 1)).filter(|_| interval < u64::MAX);
-        // At a rate of zero there is no burst.
-        burst_allowance.unwrap_or(0)
+    fn is_due(&self, now: Instant) -> bool {
+        self.due.load(Ordering::Relaxed) <= now.as_nanos()
     }
 }
