Start the retry budget empty in a process that replaces another

Cause: a process started with its host's whole part of the slack, which the one before it may have spent.

--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -67,6 +67,8 @@
     pub share: Percent,
     /// Number of retries allowed in addition to that share.
     pub slack: u32,
+    /// Whether the process may start with its part of them; the setting `repeats.unspent`.
+    pub is_unspent: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -90,6 +92,13 @@
     /// Retries per request, 0 to 1.
     ratio: f64,
     slack: f64,
+    /// Whether no earlier process of the host may have spent its part.
+    #[serde(default = "unspent")]
+    unspent: bool,
+}
+
+const fn unspent() -> bool {
+    true
 }
 
 impl Settings {
@@ -182,6 +191,7 @@
             retries: RetryLimits {
                 share: share.map_err(|error| Error::new("repeats.ratio", error))?,
                 slack: raw.repeats.slack as u32,
+                is_unspent: raw.repeats.unspent,
             },
             grace: Duration::from_secs_f64(raw.grace_s),
             log: raw.log,
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -372,7 +372,10 @@
         let new: Vec<service::Name> =
             self.pools.keys().filter(|service| !known(service)).cloned().collect();
         for service in new {
-            let budget = Budget::with_capacity(settings.retries.share, reserve);
+            let budget = match settings.retries.is_unspent {
+                true => Budget::with_capacity(settings.retries.share, reserve),
+                false => Budget::replacing(settings.retries.share, reserve),
+            };
             self.retry_budgets.insert(service.clone(), Arc::new(budget));
             self.demands.insert(service, Arc::default());
         }
--- a/crates/oleanderspan/src/request/retry.rs
+++ b/crates/oleanderspan/src/request/retry.rs
@@ -37,6 +37,12 @@
         Budget::with_credit(share, max_credit, max_credit)
     }
 
+    /// The same for a process that replaces another, which may have spent the part: it starts
+    /// empty, so that the credit of all processes of a host never exceeds the part.
+    pub fn replacing(share: Percent, capacity: u32) -> Budget {
+        Budget::with_credit(share, i64::from(capacity) * CREDIT_PER_ATTEMPT, 0)
+    }
+
     fn with_credit(share: Percent, max_credit: i64, credit: i64) -> Budget {
         Budget { share, max_credit: AtomicI64::new(max_credit), credit: AtomicI64::new(credit) }
     }
