Bound what a gateway keeps of an answer of the store or another host

Callers saw, at another operator: a process kept bytes without end, ran out of memory, and the requests of other clients ended with it. Change: the client's limit is an option; the store's and other hosts' answers have 4 MiB.

--- a/crates/node/src/gateway/peers.rs
+++ b/crates/node/src/gateway/peers.rs
@@ -23,11 +23,15 @@
 /// Interval of keep-alive probes on a silent connection between hosts.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Time-outs of connections to other hosts.
+/// Limit on the body of an answer of another host: the largest one passes on a page of the store.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Time-outs and limits of connections to other hosts.
 pub fn client_options() -> client::Options {
     client::Options {
         connect_timeout: PING_TIMEOUT,
         keepalive_interval: Some(KEEP_ALIVE_INTERVAL),
+        max_response_bytes: MAX_ANSWER_BYTES,
         ..client::Options::default()
     }
 }
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -30,13 +30,14 @@
 /// Limit on the number of interim responses (1xx) before the response to a request.
 const MAX_INTERIM_RESPONSES: u32 = 64;
 
-/// Limit on the response body that [`Client::call`] reads; a longer one is an error.
+/// Default limit on the response body that [`Client::call`] reads.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
 /// HTTP client with a connection pool; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<HttpConnector, Body>,
+    max_response_bytes: usize,
 }
 
 /// HTTP version of the remote side.
@@ -62,6 +63,9 @@
     /// Limit on the size of a response head, in bytes (HTTP/1.1); at least 8 KiB. A longer one is
     /// an error. Bodies are read in pieces up to this size.
     pub max_head_bytes: usize,
+    /// Limit on the response body that [`Client::call`] collects; a longer one is an error. Several
+    /// calls may be open at once, so the process needs a multiple of it.
+    pub max_response_bytes: usize,
 }
 
 impl Default for Options {
@@ -71,6 +75,7 @@
             idle_timeout: IDLE_TIMEOUT,
             keepalive_interval: None,
             max_head_bytes: MAX_HEAD_BYTES,
+            max_response_bytes: MAX_RESPONSE_BYTES,
         }
     }
 }
@@ -118,7 +123,8 @@
         }
         builder.http1_max_buf_size(options.max_head_bytes.max(MIN_BUFFER_BYTES));
         builder.http2_only(protocol == Protocol::Http2);
-        Client { inner: builder.build(connector) }
+        let max_response_bytes = options.max_response_bytes;
+        Client { inner: builder.build(connector), max_response_bytes }
     }
 
     /// Sends a request and returns the response once its head has arrived; the body is streamed.
@@ -161,7 +167,7 @@
     ) -> Result<(response::Parts, Bytes), Error> {
         let response = async {
             let (head, body) = self.send(request).await?.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+            let body = Limited::new(body, self.max_response_bytes).collect().await;
             let body = body.map_err(|error| Error::Broken(error.to_string()))?;
             Ok((head, body.to_bytes()))
         };
