Divide the rate of a cold server among hosts that may all count it

Cause: a host about to stop is no arbiter for the others, so that each of three held itself for the only one left; two counters are covered by the missing burst, three are not. Change: a host that knows of others that are about to stop, or have answered within 10 s and do not now, uses its part of the rate.

--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -287,12 +287,14 @@
         }
     }
 
-    /// Sets the evacuation and cold-start state of each server.
+    /// Sets the evacuation and cold-start state of each server. While other hosts of the region may
+    /// count the requests to cold servers too, this one uses its part of their rate.
     fn apply_server_flags(
         &self,
         own: region::Index,
         now: Instant,
     ) -> Map<backend::Name, Arc<Server>> {
+        let counting_hosts = 1 + self.roster.possible_arbiters(now);
         let apply = |(name, listed_server): (&backend::Name, &ListedServer)| {
             let server = &listed_server.server;
             let zone = listed_server.entry.location.zone;
@@ -302,7 +304,7 @@
             if let Some(service) =
                 table.and_then(|table| table.service(&listed_server.entry.service))
             {
-                listed_server.limit_while_cold(service.cold_rate, now);
+                listed_server.limit_while_cold(service.cold_rate.part(counting_hosts), now);
                 // The clock starts at zero with the process.
                 listed_server.server.cold().hold_until(Instant::ZERO + roster::DISCOVERY_PERIOD);
             }
--- a/crates/oleanderspan/src/backend/cold.rs
+++ b/crates/oleanderspan/src/backend/cold.rs
@@ -15,6 +15,11 @@
         Rate(requests)
     }
 
+    /// The part of the rate for one of `hosts` hosts that each count requests.
+    pub fn part(self, hosts: usize) -> Rate {
+        Rate(self.0 / u64::try_from(hosts.max(1)).unwrap_or(u64::MAX))
+    }
+
     /// The interval between requests, or `None` if the rate is zero.
     pub fn interval(self) -> Option<Duration> {
         (self.0 > 0).then(|| Duration::from_nanos(1_000_000_000_000 / self.0))
--- a/crates/oleanderspan/src/entry/roster.rs
+++ b/crates/oleanderspan/src/entry/roster.rs
@@ -25,6 +25,10 @@
 /// as the others may not listen yet during the first one, and the answers.
 pub const DISCOVERY_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// How long a host that does not answer may be paused or cut off rather than gone. One that goes on
+/// later finds no other host live and limits itself.
+const MAX_PAUSE: Duration = Duration::from_millis(10_000);
+
 /// Maximum number of hosts in a region, this one included, that all probe each other.
 const FULL_MESH_MAX_HOSTS: usize = 8;
 
@@ -198,6 +202,16 @@
         !self.peers.values().any(|state| is_live(state, now) && !state.is_leaving)
     }
 
+    /// Number of other hosts of the region that may still allocate slots although this host does not
+    /// ask them: those about to stop, and those that answered until lately.
+    pub fn possible_arbiters(&self, now: Instant) -> usize {
+        let is_possible = |state: &&PeerState| {
+            let age = state.answered_at.map(|answered| now.since(answered));
+            age.is_some_and(|age| age <= MAX_PAUSE) && (state.is_leaving || !is_live(state, now))
+        };
+        self.peers.values().filter(is_possible).count()
+    }
+
     /// The live hosts of a zone, except this one.
     fn live_near(&self, zone: availability::Index, now: Instant) -> impl Iterator<Item = &Peer> {
         let live =
--- a/crates/oleanderspan/tests/cold.rs
+++ b/crates/oleanderspan/tests/cold.rs
@@ -37,6 +37,13 @@
     assert!(!limiter.try_pass(at(2_001)), "no burst follows");
 }
 
+#[test]
+fn parts_of_a_rate_add_up_to_it_at_most() {
+    let interval = |hosts| Rate::per_1000_s(4_500).part(hosts).interval();
+    assert_eq!(interval(0), interval(1));
+    assert!(interval(3) >= interval(1).map(|interval| interval * 3));
+}
+
 proptest! {
     /// While hosts of a region stop in turn, two of them may hold themselves for the one that counts;
     /// a cold server got 12 requests in a second (review, days 180 and 1312).
--- a/crates/oleanderspan/tests/roster.rs
+++ b/crates/oleanderspan/tests/roster.rs
@@ -63,6 +63,25 @@
     assert!(live(&roster, 2).is_empty());
 }
 
+/// All hosts of a region were stopped at the same moment: each held itself for the only one left, and
+/// sent a cold server its whole rate (soak, seed 656).
+#[test]
+fn hosts_that_may_still_allocate_slots_are_counted() {
+    let mut roster = Roster::default();
+    let peers = ["a", "b", "c", "d"].map(|name| peer(name, 1));
+    peers.iter().for_each(|peer| assert!(roster.insert(peer.clone())));
+    assert_eq!(roster.possible_arbiters(at(100)), 0, "hosts that never answered");
+    for (peer, is_leaving) in peers.iter().zip([false, true, false, false]) {
+        roster.record_answer(&peer.name, is_leaving, at(100));
+    }
+    assert_eq!(roster.possible_arbiters(at(100)), 1, "the one about to stop");
+    roster.record_answer(&peers[0].name, false, at(3_000));
+    assert_eq!(roster.possible_arbiters(at(3_000)), 3, "those that may be paused");
+    roster.record_failure(&peers[3].name, at(3_000));
+    assert_eq!(roster.possible_arbiters(at(3_000)), 2, "one has ended");
+    assert_eq!(roster.possible_arbiters(at(60_000)), 0, "all are gone");
+}
+
 #[test]
 fn host_with_new_addresses_is_not_live_until_it_answers() {
     let mut roster = Roster::default();
