Wait for the host that is asked in the test of a drained entry host

The test asks host 4, but waited only for hosts 1, 3 and 8 to know of the drain. Change: it waits for host 4 too, within the same bound; nothing else is checked less.

--- a/crates/lab/tests/planned_stop.rs
+++ b/crates/lab/tests/planned_stop.rs
@@ -204,7 +204,7 @@
         std::fs::write(&file, serde_json::to_vec(&document).unwrap()).unwrap();
         let propose = ["propose", "--control", &control, "--base", base, "drain.json"];
         assert!(bench.operate(&propose).status.success());
-        for host in [1, 3, 8] {
+        for host in [1, 3, 4, 8] {
             let live = if drained { 7 } else { 8 };
             bench
                 .until(async || bench.live_hosts(host).await == live || drained && host == 3)
