--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -2,7 +2,6 @@
 //! broken, 0 if it held and 2 if the case couldn't run.
 
 mod chunked_get;
-mod false_refusal;
 #[allow(dead_code, reason = "each case uses a part of the kit")]
 mod kit;
 
@@ -17,7 +16,6 @@
     kit::limit_run();
     let broken = match name.as_str() {
         "chunked-get" => chunked_get::run(folder),
-        "false-refusal" => false_refusal::run(folder),
         _ => {
             eprintln!("no case {name}");
             return ExitCode::from(2);
